Lay the pure foundations: messages, settings, configuration fold, admission

Cause: nothing exists yet; the path needs its messages, checked settings and the deciding packages before processes can be wired.

The processes are not wired yet.

--- /dev/null
+++ b/internal/configlog/id.go
@@ -0,0 +1,7 @@
+package configlog
+
+import "github.com/oklog/ulid/v2"
+
+// NewID returns a new unique identifier (a ULID) for an operation, a request
+// or a process.
+func NewID() string { return ulid.Make().String() }
--- /dev/null
+++ b/internal/configlog/log.go
@@ -0,0 +1,128 @@
+// Package configlog keeps a process's configuration in step with the
+// platform's append-only log: it reads and folds records, takes snapshots
+// ahead of retention, and settles the appends that operators ask for.
+package configlog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/fault"
+)
+
+// The streams that the system uses on the log.
+const (
+	StreamConfig    = "config"
+	StreamSnapshots = "config-snapshots"
+	StreamLeases    = "leases"
+	StreamClaims    = "claims"
+)
+
+// Entry is one record of a stream.
+type Entry struct {
+	Offset uint64 `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// Batch is the answer to a read.
+type Batch struct {
+	// First is the oldest offset still kept, Next the one after the newest.
+	First   uint64  `json:"first"`
+	Next    uint64  `json:"next"`
+	Entries []Entry `json:"entries"`
+}
+
+// Log is the platform's log service. Offsets start at 1 in each stream.
+type Log interface {
+	// Append adds a record. A fault of code LogDown means that nothing was
+	// written; LogUnsettled means that it may have been.
+	Append(ctx context.Context, stream string, data []byte) (uint64, error)
+	// Read returns records from the offset on, waiting up to wait for one.
+	// Code LogTruncated means that the offset is no longer kept; the Batch
+	// then still has First and Next.
+	Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Batch, error)
+}
+
+// Client is a Log over the service's HTTP protocol.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+const maxLogResponse = 32 << 20
+
+// NewClient returns a Client of the log at an IP address and port. timeout
+// bounds each call, besides the wait of a read.
+func NewClient(address string, timeout time.Duration) *Client {
+	return &Client{base: "http://" + address + "/v1/streams/", timeout: timeout,
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+}
+
+// Append implements Log.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	target := c.base + url.PathEscape(stream) + "/records"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(data))
+	if err != nil {
+		return 0, fault.New(fault.Internal, "log append: %w", err)
+	}
+	sent := false
+	resp, err := c.http.Do(traceSent(req, &sent))
+	if err != nil {
+		if !sent {
+			return 0, fault.New(fault.LogDown, "log append: %w", err).With(fault.NotRun)
+		}
+		return 0, fault.New(fault.LogUnsettled, "log append: %w", err).With(fault.Unknown)
+	}
+	defer resp.Body.Close()
+	var out struct {
+		Offset uint64 `json:"offset"`
+	}
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+			return 0, fault.New(fault.LogUnsettled, "log append: %w", err).With(fault.Unknown)
+		}
+		return out.Offset, nil
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+		return 0, fault.New(fault.LogDown, "log append: refused with status %d", resp.StatusCode).With(fault.NotRun)
+	}
+	return 0, fault.New(fault.LogUnsettled, "log append: status %d", resp.StatusCode).With(fault.Unknown)
+}
+
+// Read implements Log.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	q := url.Values{"from": {strconv.FormatUint(from, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	target := c.base + url.PathEscape(stream) + "/records?" + q.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return Batch{}, fault.New(fault.Internal, "log read: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Batch{}, fault.New(fault.LogDown, "log read: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
+		return Batch{}, fault.New(fault.LogDown, "log read: status %d", resp.StatusCode)
+	}
+	var b Batch
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLogResponse)).Decode(&b); err != nil {
+		return Batch{}, fault.New(fault.LogDown, "log read: %w", fmt.Errorf("decode: %w", err))
+	}
+	if resp.StatusCode == http.StatusGone {
+		return b, fault.New(fault.LogTruncated, "log read: offset %d is gone, the oldest kept is %d", from, b.First)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/resource/spec.go
@@ -0,0 +1,264 @@
+// Package resource holds the configuration: its kinds, their checks, and the
+// pure fold from log records to the state in force. Every process folds the
+// same records with this package and so reaches the same state.
+package resource
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"regexp"
+	"slices"
+
+	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/settings"
+)
+
+// Kind is a kind of resource.
+type Kind string
+
+// The kinds.
+const (
+	KindClass   Kind = "class"
+	KindTeam    Kind = "team"
+	KindPool    Kind = "pool"
+	KindModel   Kind = "model"
+	KindService Kind = "service"
+	KindRollout Kind = "rollout"
+)
+
+// Kinds lists all kinds in an order in which each refers only to earlier ones.
+var Kinds = []Kind{KindClass, KindPool, KindModel, KindService, KindTeam, KindRollout}
+
+// Tiers is the number of service tiers; 0 is the highest.
+const Tiers = 5
+
+// BaseVersion is the version of a model that takes the share of traffic that
+// no rollout takes.
+const BaseVersion = "base"
+
+// Spec is the typed content of a resource.
+type Spec interface {
+	// References returns the resources that this one needs.
+	References() []Ref
+	check() *fault.Error
+}
+
+// Ref names a resource.
+type Ref struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// Class is a request class with its service level.
+type Class struct {
+	// Tier orders classes under load; 0 goes first.
+	Tier int `json:"tier" validate:"min=0,max=4"`
+	// FirstTokenMS, BetweenTokensMS and TotalMS are latency targets in
+	// milliseconds; 0 means none.
+	FirstTokenMS    int `json:"first_token_ms" validate:"min=0,max=86400000"`
+	BetweenTokensMS int `json:"between_tokens_ms" validate:"min=0,max=86400000"`
+	TotalMS         int `json:"total_ms" validate:"min=0,max=86400000"`
+	// MaxWaitMS is the longest wait for a start before the request is given
+	// up on, milliseconds.
+	MaxWaitMS int `json:"max_wait_ms" validate:"min=10,max=86400000"`
+	// MaxRunMS bounds the whole request, milliseconds.
+	MaxRunMS int `json:"max_run_ms" validate:"min=10,max=86400000"`
+	// Floor is the share of a backend server's tokens that the class is owed
+	// while it waits and no higher tier would be refused for it.
+	Floor float64 `json:"floor" validate:"min=0,max=0.5"`
+	// Preemptible lets a higher tier take the slot of a running request,
+	// which later continues where it stopped.
+	Preemptible bool `json:"preemptible"`
+	// MaxTokens bounds an answer.
+	MaxTokens int `json:"max_tokens" validate:"min=1,max=1000000"`
+}
+
+// Team is a customer of the platform.
+type Team struct {
+	// KeysSHA256 are hashes of the team's keys, in hexadecimal.
+	KeysSHA256   []string `json:"keys_sha256" validate:"min=1,max=16,dive,len=64,hexadecimal,lowercase"`
+	DefaultClass string   `json:"default_class" validate:"required"`
+	// Classes are the classes that the team may name; the default is always
+	// allowed.
+	Classes []string `json:"classes,omitempty" validate:"max=64"`
+	// Rate is requests a second over all routers; 0 means no limit. Burst
+	// is how many may come at once.
+	Rate  float64 `json:"rate" validate:"min=0,max=1000000"`
+	Burst int     `json:"burst" validate:"min=0,max=1000000"`
+	// Concurrency bounds requests in progress over all routers; 0: none.
+	Concurrency int `json:"concurrency" validate:"min=0,max=1000000"`
+}
+
+// Server is one backend server of a pool and the agent beside it.
+type Server struct {
+	Name          string `json:"name" validate:"required,max=128"`
+	Agent         string `json:"agent" validate:"required,ipport"`
+	FailureDomain string `json:"failure_domain" validate:"required,max=128"`
+}
+
+// Pool is a set of declared backend servers. Whether one is live is not
+// configuration.
+type Pool struct {
+	Servers []Server `json:"servers" validate:"min=1,max=4096,unique=Name,unique=Agent,dive"`
+}
+
+// Model is a model that callers name.
+type Model struct {
+	Pool string `json:"pool" validate:"required"`
+}
+
+// Service is a plain service that the system routes to.
+type Service struct {
+	Pool string `json:"pool" validate:"required"`
+	// Path is the path called at the backend server.
+	Path string `json:"path" validate:"required,startswith=/"`
+	// MayRepeat says that a call may run more than once (is idempotent).
+	MayRepeat bool `json:"may_repeat"`
+	// KeyWindowMS is how long an idempotency key is remembered.
+	KeyWindowMS int `json:"key_window_ms" validate:"min=0,max=86400000"`
+}
+
+// Rollout gives a version or adapter of a model a share of its traffic.
+type Rollout struct {
+	Model   string `json:"model" validate:"required"`
+	Version string `json:"version" validate:"required,max=64,ne=base"`
+	// Adapter marks a version that is an adapter on the base weights.
+	Adapter bool `json:"adapter"`
+	// SharePercent is the share of the model's requests; 0 keeps the version
+	// loaded without traffic.
+	SharePercent float64 `json:"share_percent" validate:"min=0,max=100"`
+}
+
+// References implements Spec.
+func (*Class) References() []Ref { return nil }
+
+// References implements Spec.
+func (t *Team) References() []Ref {
+	refs := []Ref{{KindClass, t.DefaultClass}}
+	for _, c := range t.Classes {
+		refs = append(refs, Ref{KindClass, c})
+	}
+	return refs
+}
+
+// References implements Spec.
+func (*Pool) References() []Ref { return nil }
+
+// References implements Spec.
+func (m *Model) References() []Ref { return []Ref{{KindPool, m.Pool}} }
+
+// References implements Spec.
+func (s *Service) References() []Ref { return []Ref{{KindPool, s.Pool}} }
+
+// References implements Spec.
+func (r *Rollout) References() []Ref { return []Ref{{KindModel, r.Model}} }
+
+func (c *Class) check() *fault.Error {
+	if c.MaxRunMS < c.MaxWaitMS {
+		return invalid("max_run_ms", "%d is below max_wait_ms %d", c.MaxRunMS, c.MaxWaitMS)
+	}
+	if c.Tier == 0 && c.Preemptible {
+		return invalid("preemptible", "the top tier is never preempted")
+	}
+	return nil
+}
+
+func (t *Team) check() *fault.Error {
+	if t.Rate > 0 && t.Burst < 1 {
+		return invalid("burst", "a rate needs a burst of at least 1")
+	}
+	return nil
+}
+
+func (*Pool) check() *fault.Error  { return nil }
+func (*Model) check() *fault.Error { return nil }
+
+func (s *Service) check() *fault.Error {
+	if !s.MayRepeat && s.KeyWindowMS == 0 {
+		return invalid("key_window_ms", "a service whose calls may not be repeated needs a key window")
+	}
+	return nil
+}
+
+func (*Rollout) check() *fault.Error { return nil }
+
+// AllowsClass reports whether the team may use the class.
+func (t *Team) AllowsClass(name string) bool {
+	return name == t.DefaultClass || slices.Contains(t.Classes, name)
+}
+
+func invalid(field, format string, args ...any) *fault.Error {
+	return fault.New(fault.InvalidConfig, format, args...).InField(field)
+}
+
+var (
+	validate    = settings.NewValidator("json")
+	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,126}[a-z0-9])?$`)
+)
+
+// ParseKind checks a kind's name.
+func ParseKind(s string) (Kind, error) {
+	if k := Kind(s); slices.Contains(Kinds, k) {
+		return k, nil
+	}
+	return "", fault.New(fault.NotFound, "no kind %q; kinds are %v", s, Kinds).InField("kind")
+}
+
+func newSpec(k Kind) Spec {
+	switch k {
+	case KindClass:
+		return new(Class)
+	case KindTeam:
+		return new(Team)
+	case KindPool:
+		return new(Pool)
+	case KindModel:
+		return new(Model)
+	case KindService:
+		return new(Service)
+	case KindRollout:
+		return new(Rollout)
+	}
+	return nil
+}
+
+// ParseSpec decodes and checks the JSON content of a resource. Unknown fields
+// are refused. Errors have code InvalidConfig and name the field.
+func ParseSpec(k Kind, name string, data []byte) (Spec, error) {
+	spec := newSpec(k)
+	if spec == nil {
+		return nil, invalid("kind", "no kind %q", k)
+	}
+	if !namePattern.MatchString(name) {
+		return nil, invalid("name", "%q is not a name: lower-case letters, digits and ._- , at most 128", name)
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(spec); err != nil {
+		return nil, jsonError(err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, invalid("spec", "more than one JSON value")
+	}
+	if e := settings.FieldError(fault.InvalidConfig, validate.Struct(spec)); e != nil {
+		return nil, e
+	}
+	if e := spec.check(); e != nil {
+		return nil, e
+	}
+	return spec, nil
+}
+
+var unknownField = regexp.MustCompile(`unknown field "([^"]*)"`)
+
+func jsonError(err error) *fault.Error {
+	e := fault.New(fault.InvalidConfig, "%w", err).InField("spec")
+	if typed, ok := err.(*json.UnmarshalTypeError); ok && typed.Field != "" {
+		return e.InField(typed.Field)
+	}
+	if m := unknownField.FindStringSubmatch(err.Error()); m != nil {
+		return e.InField(m[1])
+	}
+	return e
+}
--- /dev/null
+++ b/internal/settings/decode.go
@@ -0,0 +1,95 @@
+// Package settings reads and checks the TOML settings of the two binaries and
+// of the load tool. Decoding is strict: an unknown, ill-typed or out-of-range
+// key is an error that names the file, the line where known, and the key.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/merlinpost/merlinpost/internal/fault"
+)
+
+// NewValidator returns a validator that reports fields by their name under the
+// given struct tag ("toml" or "json") and knows the rule "ipport": an IP
+// address with a port, never a host name.
+func NewValidator(tag string) *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get(tag), ",")
+		return name
+	})
+	// Registration fails only for an empty name or function.
+	_ = v.RegisterValidation("ipport", func(fl validator.FieldLevel) bool {
+		_, err := netip.ParseAddrPort(fl.Field().String())
+		return err == nil
+	})
+	return v
+}
+
+// FieldError turns a validator error into a fault of the given code that names
+// the first field at fault. A nil err gives nil.
+func FieldError(code fault.Code, err error) *fault.Error {
+	if err == nil {
+		return nil
+	}
+	var list validator.ValidationErrors
+	if !errors.As(err, &list) || len(list) == 0 {
+		return fault.New(code, "%w", err)
+	}
+	first := list[0]
+	_, path, found := strings.Cut(first.Namespace(), ".")
+	if !found {
+		path = first.Namespace()
+	}
+	rule := first.Tag()
+	if first.Param() != "" {
+		rule += "=" + first.Param()
+	}
+	return fault.New(code, "value %v breaks the rule %q", first.Value(), rule).InField(path)
+}
+
+// ReadFile decodes the TOML file at path over the defaults already in target
+// and checks it. Errors have code BadSettings.
+func ReadFile(path string, target any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fault.New(fault.BadSettings, "read settings: %w", err)
+	}
+	return Decode(path, data, target)
+}
+
+// Decode is ReadFile for data already read; name is used in errors.
+func Decode(name string, data []byte, target any) error {
+	dec := toml.NewDecoder(strings.NewReader(string(data))).DisallowUnknownFields()
+	if err := dec.Decode(target); err != nil {
+		return decodeError(name, err)
+	}
+	if e := FieldError(fault.BadSettings, NewValidator("toml").Struct(target)); e != nil {
+		e.Message = name + ": " + e.Message
+		return e
+	}
+	return nil
+}
+
+func decodeError(name string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		first := strict.Errors[0]
+		row, _ := first.Position()
+		return fault.New(fault.BadSettings, "%s:%d: unknown key", name, row).InField(strings.Join(first.Key(), "."))
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		row, col := bad.Position()
+		return fault.New(fault.BadSettings, "%s:%d:%d: %w", name, row, col, err).InField(strings.Join(bad.Key(), "."))
+	}
+	return fault.New(fault.BadSettings, "%s: %w", name, fmt.Errorf("decode: %w", err))
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,57 @@
+package settings
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/merlinpost/merlinpost/internal/fault"
+)
+
+const goodRouter = `
+name = "router-1"
+failure_domain = "a"
+[log]
+address = "127.0.0.1:7000"
+`
+
+func TestSettingsNameTheKeyAtFault(t *testing.T) {
+	for name, c := range map[string]struct{ text, field, message string }{
+		"unknown key":   {goodRouter + "adress = \"x\"\n", "log.adress", "file.toml:6"},
+		"ill-typed":     {goodRouter + "poll_ms = \"soon\"\n", "log.poll_ms", "file.toml:6"},
+		"out of range":  {goodRouter + "poll_ms = 1\n", "log.poll_ms", "min=100"},
+		"host name":     {"name=\"r\"\nfailure_domain=\"a\"\n[log]\naddress=\"localhost:7000\"\n", "log.address", "ipport"},
+		"missing":       {"failure_domain=\"a\"\n[log]\naddress=\"127.0.0.1:1\"\n", "name", "required"},
+		"wrong choice":  {goodRouter + "[policy]\nchoice=\"best\"\n", "policy.choice", "oneof"},
+		"not toml":      {"name = = 3", "", "file.toml:1"},
+		"silent < beat": {goodRouter + "[link]\nsilent_ms=500\n", "link.silent_ms", "gtfield"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := DefaultRouter()
+			err := Decode("file.toml", []byte(c.text), &s)
+			g.Expect(fault.Is(err, fault.BadSettings)).To(BeTrue(), "%v", err)
+			g.Expect(fault.From(err).Field).To(Equal(c.field))
+			g.Expect(err.Error()).To(ContainSubstring(c.message))
+		})
+	}
+}
+
+func TestSettingsKeepDefaults(t *testing.T) {
+	g := NewWithT(t)
+	s := DefaultRouter()
+	g.Expect(Decode("file.toml", []byte(goodRouter), &s)).To(Succeed())
+	g.Expect(s.Policy.Subset).To(Equal(32))
+	g.Expect(s.Log.Address).To(Equal("127.0.0.1:7000"))
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(goodRouter))
+	f.Add([]byte("[log]\npoll_ms = -1"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := DefaultRouter()
+		if err := Decode("fuzz.toml", data, &s); err != nil && !fault.Is(err, fault.BadSettings) {
+			t.Fatalf("untyped error: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,408 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/merlinpost/merlinpost/internal/standin"
+)
+
+var errInjected = errors.New("injected failure")
+
+// Request is the body of a completion request: the published fields that the
+// stand-in honours, and the engine's own extensions below them.
+type Request struct {
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+
+	RequestID string  `json:"request_id"`
+	Priority  int     `json:"priority"` // lower goes first
+	Resume    *Resume `json:"resume"`
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// Resume asks for an answer to go on after the tokens already made.
+type Resume struct {
+	Tokens int    `json:"tokens"`
+	Text   string `json:"text"`
+}
+
+// PromptText returns the text that the answer depends on.
+func (r *Request) PromptText() string {
+	if len(r.Messages) == 0 {
+		return r.Prompt
+	}
+	parts := make([]string, len(r.Messages))
+	for i, m := range r.Messages {
+		parts[i] = m.text()
+	}
+	return strings.Join(parts, "\n")
+}
+
+func (m Message) text() string {
+	var s string
+	if json.Unmarshal(m.Content, &s) == nil {
+		return s
+	}
+	var list []struct {
+		Text string `json:"text"`
+	}
+	_ = json.Unmarshal(m.Content, &list) // an unknown form counts as empty
+	for _, part := range list {
+		s += part.Text
+	}
+	return s
+}
+
+// Order is an order to the engine.
+type Order struct {
+	Op      string `json:"op"` // "load", "unload" or "role"
+	Target  string `json:"target"`
+	Adapter bool   `json:"adapter"`
+	Role    string `json:"role"`
+	Fence   uint64 `json:"fence"`
+	By      string `json:"by"`
+}
+
+// Handler serves the engine's protocol and its /standin controls.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, true) })
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, false) })
+	mux.HandleFunc("GET /v1/models", e.handleModels)
+	mux.HandleFunc("GET /v1/load", e.handleLoad)
+	mux.HandleFunc("GET /v1/cache_events", e.handleEvents)
+	mux.HandleFunc("POST /v1/orders", e.handleOrder)
+	mux.HandleFunc("GET /v1/kv/{id}", e.handleExport)
+	mux.HandleFunc("POST /v1/kv", e.handleImport)
+	mux.HandleFunc("PUT /standin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if standin.ReadJSON(w, r, &f) {
+			e.SetFaults(f)
+		}
+	})
+	mux.HandleFunc("GET /standin/executions", func(w http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(w, http.StatusOK, e.Executions())
+	})
+	mux.HandleFunc("GET /standin/orders", func(w http.ResponseWriter, _ *http.Request) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		standin.WriteJSON(w, http.StatusOK, e.orders)
+	})
+	return mux
+}
+
+// Executions returns the engine's own record, by request.
+func (e *Engine) Executions() []Execution {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]Execution, 0, len(e.record))
+	for _, x := range e.record {
+		out = append(out, *x)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].RequestID < out[j].RequestID })
+	return out
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request, chat bool) {
+	var req Request
+	if !standin.ReadJSON(w, r, &req) {
+		return
+	}
+	e.mu.Lock()
+	known := e.loaded[req.Model]
+	e.mu.Unlock()
+	if !known {
+		http.Error(w, fmt.Sprintf("model %q is not loaded", req.Model), http.StatusNotFound)
+		return
+	}
+	s, err := newSequence(&req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	e.submit(s)
+	defer close(s.done)
+	out := &writer{w: w, chat: chat, req: &req, seq: s}
+	if req.Stream {
+		out.stream(r)
+		return
+	}
+	out.whole(r)
+}
+
+func newSequence(req *Request) (*sequence, error) {
+	prompt := req.PromptText()
+	s := &sequence{id: req.RequestID, model: req.Model, seed: xxhash.Sum64String(prompt), priority: req.Priority,
+		total: Length(prompt, req.MaxTokens), blocks: blockHashes(prompt), prompt: len(strings.Fields(prompt)),
+		done: make(chan struct{})}
+	if req.Resume != nil {
+		var have strings.Builder
+		for i := range req.Resume.Tokens {
+			have.WriteString(token(s.seed, i))
+		}
+		if have.String() != req.Resume.Text {
+			return nil, fmt.Errorf("resume: the text is not the first %d tokens of this answer", req.Resume.Tokens)
+		}
+		s.next = min(req.Resume.Tokens, s.total)
+	}
+	s.out = make(chan string, s.total-s.next+1)
+	return s, nil
+}
+
+// writer gives an answer in the published format.
+type writer struct {
+	w    http.ResponseWriter
+	chat bool
+	req  *Request
+	seq  *sequence
+}
+
+type choice struct {
+	Index   int     `json:"index"`
+	Delta   *delta  `json:"delta,omitempty"`
+	Message *delta  `json:"message,omitempty"`
+	Text    *string `json:"text,omitempty"`
+	Finish  *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	Prompt     int `json:"prompt_tokens"`
+	Completion int `json:"completion_tokens"`
+	Total      int `json:"total_tokens"`
+}
+
+type body struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+func (o *writer) body(streaming bool, text string, finish string, use *usage) body {
+	b := body{ID: o.seq.id, Object: "text_completion", Created: time.Now().Unix(), Model: o.req.Model, Usage: use}
+	c := choice{}
+	switch {
+	case o.chat && streaming:
+		b.Object, c.Delta = "chat.completion.chunk", &delta{Content: text}
+	case o.chat:
+		b.Object, c.Message = "chat.completion", &delta{Role: "assistant", Content: text}
+	default:
+		c.Text = &text
+	}
+	if finish != "" {
+		c.Finish = &finish
+	}
+	b.Choices = []choice{c}
+	return b
+}
+
+func (o *writer) usage() *usage {
+	return &usage{o.seq.prompt, o.seq.next, o.seq.prompt + o.seq.next}
+}
+
+// finish tells why the answer ended, as the published format does.
+func (o *writer) finish() string {
+	if o.req.MaxTokens > 0 {
+		return "length"
+	}
+	return "stop"
+}
+
+func (o *writer) event(b body) bool {
+	data, err := json.Marshal(b)
+	if err != nil {
+		return false
+	}
+	if _, err := fmt.Fprintf(o.w, "data: %s\n\n", data); err != nil {
+		return false
+	}
+	return true
+}
+
+func (o *writer) stream(r *http.Request) {
+	o.w.Header().Set("Content-Type", "text/event-stream")
+	flusher, _ := o.w.(http.Flusher)
+	flusher.Flush()
+	for {
+		select {
+		case text, ok := <-o.seq.out:
+			if !ok {
+				o.endStream()
+				return
+			}
+			if !o.event(o.body(true, text, "", nil)) {
+				return
+			}
+			flusher.Flush()
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (o *writer) endStream() {
+	if o.seq.failed != nil {
+		panic(http.ErrAbortHandler)
+	}
+	o.event(o.body(true, "", o.finish(), o.usage()))
+	_, _ = fmt.Fprint(o.w, "data: [DONE]\n\n")
+}
+
+func (o *writer) whole(r *http.Request) {
+	var text strings.Builder
+	for {
+		select {
+		case t, ok := <-o.seq.out:
+			if ok {
+				text.WriteString(t)
+				continue
+			}
+			if o.seq.failed != nil {
+				http.Error(o.w, o.seq.failed.Error(), http.StatusInternalServerError)
+				return
+			}
+			standin.WriteJSON(o.w, http.StatusOK, o.body(false, text.String(), o.finish(), o.usage()))
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *Engine) handleModels(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	names := make([]string, 0, len(e.loaded))
+	for m := range e.loaded {
+		names = append(names, m)
+	}
+	sort.Strings(names)
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"loaded": names, "role": e.role, "fence": e.fence})
+}
+
+// handleLoad answers with a report that is ReportLag old.
+func (e *Engine) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.NoReports {
+		http.Error(w, "no reports", http.StatusServiceUnavailable)
+		return
+	}
+	limit := time.Now().Add(-e.cfg.ReportLag)
+	var out Report
+	for _, r := range e.reports {
+		if r.At.After(limit) {
+			break
+		}
+		out = r
+	}
+	standin.WriteJSON(w, http.StatusOK, out)
+}
+
+// handleEvents answers with old enough events, some of them lost.
+func (e *Engine) handleEvents(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.NoReports {
+		http.Error(w, "no events", http.StatusServiceUnavailable)
+		return
+	}
+	limit := time.Now().Add(-e.cfg.ReportLag)
+	out := []CacheEvent{}
+	for _, ev := range e.events {
+		if ev.Seq >= from && ev.At.Before(limit) && e.rand.Float64() >= e.cfg.EventLoss {
+			out = append(out, ev)
+		}
+	}
+	standin.WriteJSON(w, http.StatusOK, out)
+}
+
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if !standin.ReadJSON(w, r, &o) {
+		return
+	}
+	if status, text := e.admitOrder(o); status != http.StatusOK {
+		http.Error(w, text, status)
+		return
+	}
+	if o.Op == "load" && e.cfg.Weights != "" {
+		if err := fetchWeights(r.Context(), e.cfg.Weights, o.Target); err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch o.Op {
+	case "load":
+		e.loaded[o.Target] = true
+	case "unload":
+		delete(e.loaded, o.Target)
+	case "role":
+		e.role = o.Role
+	}
+	standin.WriteJSON(w, http.StatusOK, o)
+}
+
+func (e *Engine) admitOrder(o Order) (int, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Op != "load" && o.Op != "unload" && o.Op != "role" {
+		return http.StatusBadRequest, "op: not an order"
+	}
+	if e.cfg.Fencing {
+		if o.Fence < e.fence {
+			return http.StatusConflict, fmt.Sprintf("fence %d is older than %d", o.Fence, e.fence)
+		}
+		e.fence = o.Fence
+	}
+	e.orders = append(e.orders, o)
+	return http.StatusOK, ""
+}
+
+// handleExport gives the cached blocks; id is a name for the export.
+func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"id": r.PathValue("id"), "blocks": e.cache.blocks()})
+}
+
+func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Blocks []uint64 `json:"blocks"`
+	}
+	if !standin.ReadJSON(w, r, &in) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, added, evicted := e.cache.use(in.Blocks)
+	e.emit(CacheEvent{At: time.Now(), Stored: added, Evicted: evicted})
+	standin.WriteJSON(w, http.StatusOK, map[string]int{"stored": len(added)})
+}
--- /dev/null
+++ b/internal/wire/message.go
@@ -0,0 +1,281 @@
+// Package wire is the protocol between a router and an agent: typed messages,
+// encoded with msgpack, in length-prefixed frames over one TCP connection.
+//
+// A router dials an agent. Both send Hello first. Every later message names
+// the request and the attempt it belongs to, so that a message of an old link
+// or an old attempt can be told apart. Durations are remaining times, never
+// wall clocks: the clocks of two hosts are not compared.
+package wire
+
+import (
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/fault"
+)
+
+// Version is the protocol version in Hello. A peer with another one is refused.
+const Version = 1
+
+// Type is the one-byte message type in a frame header.
+type Type uint8
+
+// The message types.
+const (
+	TypeHello Type = iota + 1
+	TypeBeat
+	TypeOffer
+	TypeVerdict
+	TypeChunk
+	TypeEnd
+	TypeAck
+	TypeCancel
+	TypeCancelled
+	TypeResume
+	TypeConfigPull
+	TypeConfigState
+	TypeClaim
+	TypeClaimed
+)
+
+// Message is any message of the protocol.
+type Message interface{ Type() Type }
+
+// Kind tells a model request from a plain service call.
+type Kind uint8
+
+// The kinds of work.
+const (
+	Generate Kind = iota
+	Service
+)
+
+// Hello opens a link in both directions.
+type Hello struct {
+	Version     int
+	Role        string // "router" or "agent"
+	Name        string
+	Incarnation string // identity of the process; a restart changes it
+	Domain      string // failure domain
+	Revision    uint64 // configuration in force
+}
+
+// Beat is the heartbeat. Agents put their load into it; a Beat is also sent at
+// once when the load's Draining or Serving changes.
+type Beat struct {
+	Revision uint64
+	Load     *Load
+}
+
+// Load is what an agent knows of its backend server at this moment.
+type Load struct {
+	Running    int
+	Slots      int
+	Queued     []int // by tier
+	StepMicros int   // measured time of a decoding step, microseconds
+	ServiceMS  int   // measured mean time of a request in a slot, milliseconds
+	Draining   bool
+	Serving    []string // "model@version" loaded, sorted
+}
+
+// Offer hands a request to an agent. The agent answers with a Verdict.
+type Offer struct {
+	ID            string
+	Attempt       uint32
+	Kind          Kind
+	Endpoint      string // path at the backend server
+	Team          string
+	Class         string
+	Tier          uint8
+	Floor         float64 // share of tokens that the class's tier is owed
+	Target        string  // "model@version", or service name
+	StartWithinMS int64   // the agent starts the work within this or never
+	RunWithinMS   int64   // the whole answer is due within this
+	MayRepeat     bool    // false: runs at most once
+	Preemptible   bool
+	Key           string // idempotency key, scoped by team and service
+	Digest        uint64 // of Body, to find two bodies under one key
+	KeyWindowMS   int64  // how long a key is remembered
+	Body          []byte
+	MaxTokens     int
+	Done          uint32 // chunks already delivered to the caller
+	DoneText      string // their text
+	Window        uint32 // chunks that may be sent ahead of acknowledgement
+	ContentType   string
+}
+
+// Verdict answers an Offer: accepted (Fault nil) or refused. A refusal means
+// not run, and the agent will not run this attempt later either.
+type Verdict struct {
+	ID      string
+	Attempt uint32
+	Fault   *Fault
+	Load    *Load
+}
+
+// Chunk carries one numbered piece of an answer. Numbers start at Offer.Done.
+type Chunk struct {
+	ID      string
+	Attempt uint32
+	Seq     uint32
+	Data    []byte
+}
+
+// End closes an answer. Total is the number of chunks of the whole answer,
+// those delivered by earlier attempts included.
+type End struct {
+	ID           string
+	Attempt      uint32
+	Total        uint32
+	Finish       string // engine's finish reason
+	PromptTokens int
+	OutputTokens int
+	Preempted    int
+	Wasted       int    // tokens generated twice
+	Status       int    // plain service: HTTP status
+	ContentType  string // plain service
+	Fault        *Fault
+	Load         *Load
+}
+
+// Ack lets the agent forget chunks below Next and opens its window.
+type Ack struct {
+	ID      string
+	Attempt uint32
+	Next    uint32
+	Final   bool // the End was received: the answer may be forgotten
+}
+
+// Cancel withdraws an attempt; the agent answers with Cancelled.
+type Cancel struct {
+	ID      string
+	Attempt uint32
+}
+
+// Cancelled says what a Cancel met. Ran false means not run, now or later.
+type Cancelled struct {
+	ID      string
+	Attempt uint32
+	Ran     bool
+}
+
+// Resume asks for an answer to go on at chunk Next over this link. An agent
+// that does not hold the attempt answers with a Verdict of code NotHeld and
+// refuses the attempt from then on.
+type Resume struct {
+	ID      string
+	Attempt uint32
+	Next    uint32
+}
+
+// ConfigPull asks the peer for its configuration if newer than Above.
+type ConfigPull struct{ Above uint64 }
+
+// ConfigState carries a snapshot of a peer's configuration. Empty Data means
+// that the peer has nothing newer.
+type ConfigState struct {
+	Revision uint64
+	Data     []byte
+}
+
+// Claim asks a witness to record that Holder is about to run the call of an
+// idempotency key.
+type Claim struct {
+	Seq      uint64
+	Key      string
+	Holder   string // "agent/incarnation"
+	Digest   uint64
+	WindowMS int64
+}
+
+// ClaimState is a witness's word on a key.
+type ClaimState uint8
+
+// The words of a witness.
+const (
+	ClaimGranted ClaimState = iota // recorded for this holder
+	ClaimTaken                     // another holder had it first
+	ClaimCannotVouch
+)
+
+// Claimed answers a Claim.
+type Claimed struct {
+	Seq    uint64
+	State  ClaimState
+	WaitMS int64 // until the witness can vouch
+}
+
+// Fault is a fault.Error on the wire.
+type Fault struct {
+	Code         string
+	Outcome      string
+	Field        string
+	Message      string
+	RetryAfterMS int64
+}
+
+// FaultOf encodes a typed error.
+func FaultOf(e *fault.Error) *Fault {
+	if e == nil {
+		return nil
+	}
+	return &Fault{string(e.Code), string(e.Outcome), e.Field, e.Message, e.RetryAfter.Milliseconds()}
+}
+
+// Err decodes the typed error; nil for a nil Fault.
+func (f *Fault) Err() *fault.Error {
+	if f == nil {
+		return nil
+	}
+	return &fault.Error{Code: fault.Code(f.Code), Outcome: fault.Outcome(f.Outcome), Field: f.Field,
+		Message: f.Message, RetryAfter: time.Duration(f.RetryAfterMS) * time.Millisecond}
+}
+
+// Type methods.
+func (*Hello) Type() Type       { return TypeHello }
+func (*Beat) Type() Type        { return TypeBeat }
+func (*Offer) Type() Type       { return TypeOffer }
+func (*Verdict) Type() Type     { return TypeVerdict }
+func (*Chunk) Type() Type       { return TypeChunk }
+func (*End) Type() Type         { return TypeEnd }
+func (*Ack) Type() Type         { return TypeAck }
+func (*Cancel) Type() Type      { return TypeCancel }
+func (*Cancelled) Type() Type   { return TypeCancelled }
+func (*Resume) Type() Type      { return TypeResume }
+func (*ConfigPull) Type() Type  { return TypeConfigPull }
+func (*ConfigState) Type() Type { return TypeConfigState }
+func (*Claim) Type() Type       { return TypeClaim }
+func (*Claimed) Type() Type     { return TypeClaimed }
+
+func newMessage(t Type) Message {
+	switch t {
+	case TypeHello:
+		return new(Hello)
+	case TypeBeat:
+		return new(Beat)
+	case TypeOffer:
+		return new(Offer)
+	case TypeVerdict:
+		return new(Verdict)
+	case TypeChunk:
+		return new(Chunk)
+	case TypeEnd:
+		return new(End)
+	case TypeAck:
+		return new(Ack)
+	case TypeCancel:
+		return new(Cancel)
+	case TypeCancelled:
+		return new(Cancelled)
+	case TypeResume:
+		return new(Resume)
+	case TypeConfigPull:
+		return new(ConfigPull)
+	case TypeConfigState:
+		return new(ConfigState)
+	case TypeClaim:
+		return new(Claim)
+	case TypeClaimed:
+		return new(Claimed)
+	}
+	return nil
+}
