--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -36,6 +36,14 @@
 	return b.next, b.chunks[b.next-b.base], true
 }
 
+// Last returns the newest chunk if it is still kept.
+func (b *Buffer) Last() (seq uint32, data []byte, ok bool) {
+	if len(b.chunks) == 0 {
+		return 0, nil, false
+	}
+	return b.Total() - 1, b.chunks[len(b.chunks)-1], true
+}
+
 // Sent moves past the chunk that Peek returned.
 func (b *Buffer) Sent() { b.next++ }
 
--- /dev/null
+++ b/internal/execution/core.go
@@ -0,0 +1,378 @@
+// Package execution is the deciding part of an agent: it takes offers,
+// cancels, resumes and acknowledgements from routers and the progress of the
+// backend server, and says what to start, stop and send. It is pure: time comes
+// in as an argument, effects go out through an interface, nothing blocks. One
+// goroutine owns a Core.
+//
+// What it holds to:
+//
+//   - an attempt that was said not to have run never runs: its tombstone
+//     refuses an offer that arrives late;
+//   - an answer is kept until the router has acknowledged it, and goes on over
+//     another link at the number the router asks for;
+//   - work that may not be repeated is started at most once here.
+package execution
+
+import (
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/admission"
+	"github.com/merlinpost/merlinpost/internal/answer"
+	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/receipt"
+	"github.com/merlinpost/merlinpost/internal/wire"
+)
+
+// Key names an attempt of a request.
+type Key struct {
+	ID      string
+	Attempt uint32
+}
+
+// LinkID names a link of this process; 0 is no link.
+type LinkID uint64
+
+// Run is one start of an attempt at the backend server. An attempt that is
+// preempted runs again under the next Number; what an earlier run still
+// brings is dropped.
+type Run struct {
+	Key    Key
+	Number int
+	Offer  *wire.Offer
+	// Done and DoneText are the tokens made before, which are not made again.
+	Done     uint32
+	DoneText string
+}
+
+// Effects is what a Core does to the world. None of the calls may block.
+type Effects interface {
+	// Send queues a message on a link; false means no room, or no such link.
+	Send(link LinkID, m wire.Message) bool
+	// Start begins a run; its progress comes back through Token and Ended.
+	Start(r Run)
+	// Stop ends a run at the backend server.
+	Stop(k Key, number int)
+	// Claim asks the witness of a key, or the log if it can't be reached;
+	// the answer comes back through ClaimSettled.
+	Claim(k Key, o *wire.Offer)
+}
+
+// Config is the size of a Core.
+type Config struct {
+	Admission admission.Config
+	// MaxHeld bounds the attempts held, finished answers included.
+	MaxHeld int
+	// OrphanAfter is how long an attempt goes on without a link.
+	OrphanAfter time.Duration
+	// TombstoneFor is how long a refused attempt is remembered. It is above
+	// the longest time that an offer may be under way on an old link.
+	TombstoneFor time.Duration
+	// MaxTombstones bounds the refused attempts remembered.
+	MaxTombstones int
+}
+
+type phase uint8
+
+const (
+	claiming phase = iota // a keyed call waits for its claim
+	joined                // a repeat waits for the first call of its key
+	queued
+	running
+	ended
+)
+
+// attempt is one offered attempt.
+type attempt struct {
+	key      Key
+	offer    *wire.Offer
+	link     LinkID
+	phase    phase
+	job      *admission.Job
+	run      int
+	buf      *answer.Buffer
+	text     []byte // everything made so far, for resume; only if needed
+	made     uint32 // chunks made by all runs, those before the offer included
+	runBy    time.Time
+	orphaned time.Time // since when without a link; zero: has one
+	entry    *receipt.Entry
+	end      *wire.End
+	endSent  bool
+	wasted   int
+}
+
+// Counters are the totals a Core keeps for the metrics.
+type Counters struct {
+	Accepted, Refused, Expired, Started, Preempted uint64
+	Cancelled, Orphaned, WastedTokens, Tokens      uint64
+	Duplicates, Tombstoned                         uint64
+}
+
+// Core is the state of an agent. Call New.
+type Core struct {
+	cfg      Config
+	fx       Effects
+	queue    *admission.Queue
+	book     *receipt.Book
+	held     map[Key]*attempt
+	byJob    map[*admission.Job]*attempt
+	waiting  map[string][]*attempt // repeats that wait, by idempotency key
+	tombs    *tombstones
+	links    map[LinkID]string     // open links and the process at the other end
+	byPeer   map[string]LinkID     // the newest link of each process
+	blocked  map[*attempt]struct{} // have chunks to send but no room on the link
+	draining bool
+	serving  func(target string) bool
+	counters Counters
+}
+
+// New returns a Core that started at now; serving says whether the backend
+// server has a target loaded.
+func New(cfg Config, now time.Time, fx Effects, serving func(string) bool) *Core {
+	return &Core{cfg: cfg, fx: fx, queue: admission.New(cfg.Admission), book: receipt.NewBook(now),
+		links: map[LinkID]string{}, byPeer: map[string]LinkID{},
+		held: map[Key]*attempt{}, byJob: map[*admission.Job]*attempt{}, waiting: map[string][]*attempt{},
+		tombs: newTombstones(cfg.TombstoneFor, cfg.MaxTombstones), blocked: map[*attempt]struct{}{}, serving: serving}
+}
+
+// Book returns the memory of idempotency keys.
+func (c *Core) Book() *receipt.Book { return c.book }
+
+// Counters returns the totals so far.
+func (c *Core) Counters() Counters { return c.counters }
+
+// Held returns the number of attempts held.
+func (c *Core) Held() int { return len(c.held) }
+
+// Tombstones returns the number of refused attempts remembered.
+func (c *Core) Tombstones() int { return c.tombs.len() }
+
+// Idle reports whether nothing is held that a router still waits for.
+func (c *Core) Idle() bool { return len(c.held) == 0 }
+
+// Drain refuses offers from now on; what is held goes on to its end.
+func (c *Core) Drain() { c.draining = true }
+
+// Load describes the queue for the routers.
+func (c *Core) Load() *wire.Load {
+	return &wire.Load{Running: c.queue.Running(), Slots: c.cfg.Admission.Slots, Queued: c.queue.Waiting(),
+		ServiceMS: int(c.queue.ServiceTime().Milliseconds()), Draining: c.draining}
+}
+
+// LinkUp takes in a new link of the named process. The process's older link is
+// superseded and returned: what it still brings is ignored from now on, so an
+// offer can't overtake the word that it did not arrive.
+func (c *Core) LinkUp(now time.Time, link LinkID, peer string) (superseded LinkID) {
+	superseded = c.byPeer[peer]
+	if superseded != 0 {
+		c.LinkDown(now, superseded)
+	}
+	c.links[link], c.byPeer[peer] = peer, link
+	return superseded
+}
+
+// LinkDown leaves the attempts of a link without one; they run on and can be
+// resumed until OrphanAfter.
+func (c *Core) LinkDown(now time.Time, link LinkID) {
+	if peer, open := c.links[link]; open && c.byPeer[peer] == link {
+		delete(c.byPeer, peer)
+	}
+	delete(c.links, link)
+	for _, a := range c.held {
+		if a.link == link {
+			a.link, a.orphaned = 0, now
+		}
+	}
+}
+
+// open reports whether a link is neither down nor superseded.
+func (c *Core) open(link LinkID) bool {
+	_, ok := c.links[link]
+	return ok
+}
+
+// Offer takes in an offered attempt and answers with a Verdict.
+func (c *Core) Offer(now time.Time, link LinkID, o *wire.Offer) {
+	if !c.open(link) {
+		return
+	}
+	key := Key{o.ID, o.Attempt}
+	if a := c.held[key]; a != nil { // the offer came twice: the first one counts
+		c.counters.Duplicates++
+		a.link, a.orphaned = link, time.Time{}
+		c.verdict(a.link, key, nil)
+		return
+	}
+	if e := c.admit(now, link, key, o); e != nil {
+		c.counters.Refused++
+		c.tombs.add(now, key, false)
+		c.verdict(link, key, e)
+		return
+	}
+	c.counters.Accepted++
+	c.verdict(link, key, nil)
+	c.schedule(now)
+}
+
+func (c *Core) verdict(link LinkID, key Key, e *fault.Error) {
+	c.fx.Send(link, &wire.Verdict{ID: key.ID, Attempt: key.Attempt, Fault: wire.FaultOf(e), Load: c.Load()})
+}
+
+// admit checks an offer and puts it where it waits.
+func (c *Core) admit(now time.Time, link LinkID, key Key, o *wire.Offer) *fault.Error {
+	if c.tombs.has(now, key) {
+		c.counters.Tombstoned++
+		return fault.New(fault.NotHeld, "the attempt was withdrawn before it arrived").With(fault.NotRun)
+	}
+	if c.draining {
+		return fault.New(fault.Draining, "the backend server is leaving").With(fault.NotRun)
+	}
+	if !c.serving(o.Target) {
+		return fault.New(fault.NoServer, "%q is not loaded here", o.Target).With(fault.NotRun)
+	}
+	if len(c.held) >= c.cfg.MaxHeld {
+		return fault.New(fault.RecordsFull, "%d requests are held already", len(c.held)).
+			With(fault.NotRun).After(c.queue.RetryAfter(int(o.Tier)))
+	}
+	a := &attempt{key: key, offer: o, link: link, buf: answer.NewBuffer(o.Done, o.Window), made: o.Done,
+		text: []byte(o.DoneText), runBy: now.Add(millis(o.RunWithinMS))}
+	if o.Key == "" {
+		if e := c.enqueue(now, a); e != nil {
+			return e
+		}
+	} else if e := c.admitKeyed(now, a); e != nil {
+		return e
+	}
+	c.held[key] = a
+	return nil
+}
+
+func (c *Core) enqueue(now time.Time, a *attempt) *fault.Error {
+	o := a.offer
+	job := &admission.Job{ID: o.ID, Tier: min(int(o.Tier), admission.Tiers-1), Flow: o.Team, Cost: float64(o.MaxTokens),
+		Floor: o.Floor, FirstToken: millis(o.FirstTokenMS), Preemptible: o.Preemptible && o.MayRepeat,
+		StartBy: now.Add(millis(o.StartWithinMS))}
+	if e := c.queue.Offer(now, job); e != nil {
+		return e
+	}
+	a.job, a.phase = job, queued
+	c.byJob[job] = a
+	return nil
+}
+
+// admitKeyed takes in a call with an idempotency key: the first is claimed,
+// repeats join it or get its answer.
+func (c *Core) admitKeyed(now time.Time, a *attempt) *fault.Error {
+	o := a.offer
+	entry, e := c.book.Lookup(now, o.Key, o.Digest)
+	if e != nil {
+		return e
+	}
+	if entry == nil {
+		if entry, e = c.book.Begin(now, o.Key, o.Digest, millis(o.KeyWindowMS)); e != nil {
+			return e
+		}
+		a.entry, a.phase = entry, claiming
+		c.fx.Claim(a.key, o)
+		return nil
+	}
+	a.phase = joined
+	switch entry.Phase {
+	case receipt.Done:
+		c.replay(now, a, entry)
+	case receipt.Lost:
+		return alreadyRan()
+	default:
+		c.waiting[o.Key] = append(c.waiting[o.Key], a)
+	}
+	return nil
+}
+
+func alreadyRan() *fault.Error {
+	return fault.New(fault.CannotVouch, "a call with this key may have run; its answer is not known").
+		InField("Idempotency-Key").With(fault.Unknown)
+}
+
+// ClaimSettled brings the decision on a keyed call.
+func (c *Core) ClaimSettled(now time.Time, key Key, d receipt.Decision) {
+	a := c.held[key]
+	if a == nil || a.phase != claiming {
+		return
+	}
+	var e *fault.Error
+	switch d {
+	case receipt.Run, receipt.RunOnceKept:
+		e = c.enqueue(now, a)
+	case receipt.AlreadyRan:
+		e = alreadyRan()
+		a.entry.Phase = receipt.Lost
+		c.finishKeyed(now, a, e)
+		return
+	default:
+		e = c.book.RefuseFault(now, millis(a.offer.KeyWindowMS))
+	}
+	if e != nil {
+		c.book.Forget(a.offer.Key)
+		c.finishKeyed(now, a, e)
+		return
+	}
+	c.schedule(now)
+}
+
+// finishKeyed ends a keyed attempt that did not run to an answer, and the
+// repeats that wait for it, with the same fault.
+func (c *Core) finishKeyed(now time.Time, a *attempt, e *fault.Error) {
+	c.finish(now, a, &wire.End{Fault: wire.FaultOf(e)})
+	c.settleWaiting(now, a.offer.Key, func(w *attempt) { c.finish(now, w, &wire.End{Fault: wire.FaultOf(e)}) })
+}
+
+func (c *Core) settleWaiting(_ time.Time, key string, f func(*attempt)) {
+	list := c.waiting[key]
+	delete(c.waiting, key)
+	for _, w := range list {
+		if c.held[w.key] == w && w.phase == joined {
+			f(w)
+		}
+	}
+}
+
+// replay answers a repeat with the kept answer of the first call.
+func (c *Core) replay(now time.Time, a *attempt, e *receipt.Entry) {
+	if e.Result.BodyDropped {
+		f := fault.New(fault.CannotVouch, "the call ran, but its answer was too large to keep").With(fault.Unknown)
+		c.finish(now, a, &wire.End{Fault: wire.FaultOf(f)})
+		return
+	}
+	a.buf.Append(e.Result.Body)
+	a.made++
+	c.finish(now, a, &wire.End{Status: e.Result.Status, ContentType: e.Result.ContentType})
+}
+
+// schedule starts what can start and preempts what must give way.
+func (c *Core) schedule(now time.Time) {
+	for {
+		if job, ok := c.queue.Next(now); ok {
+			c.start(c.byJob[job])
+			continue
+		}
+		victim := c.queue.Preempt(now)
+		if victim == nil {
+			return
+		}
+		a := c.byJob[victim]
+		c.fx.Stop(a.key, a.run)
+		a.phase = queued
+		c.counters.Preempted++
+	}
+}
+
+func (c *Core) start(a *attempt) {
+	a.phase = running
+	a.run++
+	if a.entry != nil {
+		a.entry.Phase = receipt.Running
+	}
+	c.counters.Started++
+	c.fx.Start(Run{Key: a.key, Number: a.run, Offer: a.offer, Done: a.made, DoneText: string(a.text)})
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,377 @@
+// Package relay is the deciding part of one request at a router: it offers the
+// request to agents one after another, passes the answer on in order, resumes
+// it over new links and at other agents, and ends with one final word. It is
+// pure: events come in by method, effects go out through an interface.
+//
+// What it holds to:
+//
+//   - "not run" is said only when every attempt was refused, or was cancelled
+//     and the agent confirmed that it had not started;
+//   - work that may not be repeated is offered again only after such a word;
+//   - a caller gets each chunk once, in order, and an end only when whole;
+//   - a decided request is answered at once.
+package relay
+
+import (
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/answer"
+	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/wire"
+)
+
+// ackEvery is how many chunks are acknowledged at a time.
+const ackEvery = 32
+
+// Window is how many chunks an agent may send ahead of acknowledgement; it
+// bounds what a router holds for a slow caller.
+const Window = 128
+
+// Timer names a timer of a request.
+type Timer uint8
+
+// The timers.
+const (
+	TimerLost     Timer = iota // the agent is out of reach for too long
+	TimerCancel                // the agent does not confirm a cancel
+	TimerDeadline              // the whole request is overdue
+	TimerAnswer                // the agent does not answer an offer
+)
+
+// Effects is what a Machine does to the world.
+type Effects interface {
+	// Offer chooses an agent and sends it the attempt. done and doneText are
+	// what the caller has had. A fault means that nothing was sent.
+	Offer(attempt uint32, done uint32, doneText string) *fault.Error
+	// Send sends to the agent of the present attempt; if its link is down
+	// the message is dropped.
+	Send(m wire.Message)
+	// Abandon asks for a cancel to be sent to the agent of the present
+	// attempt whenever it is reached again.
+	Abandon(attempt uint32)
+	// Deliver passes a chunk to the caller.
+	Deliver(data []byte)
+	// Finish gives the final word; e is nil for a whole answer.
+	Finish(end *wire.End, e *fault.Error)
+	// Arm starts a timer, replacing one of the same name; 0 stops it.
+	Arm(t Timer, d time.Duration)
+	// Retry takes one retry out of the budget, false if it is spent.
+	Retry() bool
+}
+
+// Config is the timing and the limits of a request.
+type Config struct {
+	MaxAttempts int
+	MayRepeat   bool
+	// Resumable says that another agent can go on after delivered chunks.
+	Resumable bool
+	RunWithin time.Duration
+	Lost      time.Duration // how long an agent may be out of reach
+	Cancel    time.Duration // how long a cancel may take to be confirmed
+	Answer    time.Duration // how long a verdict may take
+}
+
+type state uint8
+
+const (
+	offered    state = iota // sent, no verdict yet
+	accepted                // the agent holds it
+	cancelling              // a cancel was sent; its confirmation decides
+	finished
+)
+
+// Machine is one request. Call New, then Start; events must come from one
+// goroutine.
+type Machine struct {
+	cfg     Config
+	fx      Effects
+	id      string
+	state   state
+	attempt uint32
+	asm     answer.Assembler
+	text    []byte
+	acked   uint32
+	linkUp  bool
+	// unsettled counts earlier attempts that may have run.
+	unsettled int
+	refusal   *fault.Error // the last refusal, said if nothing else is
+	cause     *fault.Error // why the request is being cancelled
+	retries   int
+}
+
+// New returns a Machine for the request with the given id.
+func New(id string, cfg Config, fx Effects) *Machine { return &Machine{cfg: cfg, fx: fx, id: id} }
+
+// Finished reports whether the final word was given.
+func (m *Machine) Finished() bool { return m.state == finished }
+
+// Retries returns how many further offers were made.
+func (m *Machine) Retries() int { return m.retries }
+
+// Delivered returns the number of chunks passed on.
+func (m *Machine) Delivered() uint32 { return m.asm.Next() }
+
+// Start makes the first offer.
+func (m *Machine) Start() {
+	m.fx.Arm(TimerDeadline, m.cfg.RunWithin)
+	m.offer()
+}
+
+func (m *Machine) offer() {
+	m.attempt++
+	if e := m.fx.Offer(m.attempt, m.asm.Next(), string(m.text)); e != nil {
+		if m.refusal == nil || e.Code != fault.NoServer {
+			m.refusal = e
+		}
+		m.finish(nil, m.refusal)
+		return
+	}
+	m.state, m.linkUp = offered, true
+	m.fx.Arm(TimerLost, 0)
+	m.fx.Arm(TimerAnswer, m.cfg.Answer)
+}
+
+// mine reports whether a message belongs to the present attempt.
+func (m *Machine) mine(attempt uint32) bool { return m.state != finished && attempt == m.attempt }
+
+// Verdict takes in the agent's word on an offer or a resume.
+func (m *Machine) Verdict(v *wire.Verdict) {
+	if !m.mine(v.Attempt) {
+		return
+	}
+	m.fx.Arm(TimerAnswer, 0)
+	if v.Fault == nil {
+		if m.state == offered {
+			m.state = accepted
+		}
+		return
+	}
+	e := v.Fault.Err()
+	if m.state == cancelling {
+		m.settleCancel(e.Outcome != fault.NotRun)
+		return
+	}
+	m.attemptFailed(e)
+}
+
+// attemptFailed goes on after an attempt ended without an answer: its outcome
+// says whether it may have run.
+func (m *Machine) attemptFailed(e *fault.Error) {
+	if m.state == offered || m.state == accepted {
+		m.fx.Arm(TimerAnswer, 0)
+	}
+	m.refusal = e
+	if e.Outcome != fault.NotRun {
+		m.unsettled++
+		if !m.cfg.MayRepeat {
+			m.finish(nil, e)
+			return
+		}
+	}
+	if !m.mayOfferAgain(e) {
+		m.finish(nil, e)
+		return
+	}
+	m.retries++
+	m.offer()
+}
+
+// final lists the faults that another agent would give as well.
+var final = map[fault.Code]bool{
+	fault.KeyConflict: true, fault.CannotVouch: true, fault.TooLarge: true, fault.BadRequest: true,
+	fault.Expired: true, fault.Deadline: true,
+}
+
+func (m *Machine) mayOfferAgain(e *fault.Error) bool {
+	if final[e.Code] || int(m.attempt) >= m.cfg.MaxAttempts {
+		return false
+	}
+	if m.asm.Next() > 0 && !m.cfg.Resumable {
+		return false
+	}
+	return m.fx.Retry()
+}
+
+// Chunk takes in a piece of the answer.
+func (m *Machine) Chunk(c *wire.Chunk) {
+	if !m.mine(c.Attempt) || m.state == cancelling {
+		return
+	}
+	switch m.asm.Accept(c.Seq) {
+	case answer.Duplicate:
+		return
+	case answer.Gap:
+		m.resume()
+		return
+	case answer.InOrder:
+	}
+	m.state = accepted
+	if m.cfg.MayRepeat && m.cfg.Resumable {
+		m.text = append(m.text, c.Data...)
+	}
+	m.fx.Deliver(c.Data)
+	if m.asm.Next()-m.acked >= ackEvery {
+		m.ack(false)
+	}
+}
+
+func (m *Machine) ack(final bool) {
+	m.acked = m.asm.Next()
+	m.fx.Send(&wire.Ack{ID: m.id, Attempt: m.attempt, Next: m.acked, Final: final})
+}
+
+func (m *Machine) resume() {
+	m.fx.Send(&wire.Resume{ID: m.id, Attempt: m.attempt, Next: m.asm.Next()})
+}
+
+// End takes in the end of the answer.
+func (m *Machine) End(e *wire.End) {
+	if !m.mine(e.Attempt) {
+		return
+	}
+	f := e.Fault.Err()
+	if m.state == cancelling {
+		m.ack(true)
+		m.settleCancel(f == nil || f.Outcome != fault.NotRun)
+		return
+	}
+	if f != nil {
+		m.ack(true)
+		m.attemptFailed(f)
+		return
+	}
+	if e.Total != m.asm.Next() {
+		m.resume()
+		return
+	}
+	m.ack(true)
+	m.finish(e, nil)
+}
+
+// LinkDown says that the link to the agent is gone.
+func (m *Machine) LinkDown() {
+	if m.state == finished || !m.linkUp {
+		return
+	}
+	m.linkUp = false
+	m.fx.Arm(TimerAnswer, 0)
+	if m.state == cancelling {
+		return // its timer runs
+	}
+	m.fx.Arm(TimerLost, m.cfg.Lost)
+}
+
+// LinkUp says that the agent is reached again; same is false if it restarted
+// and so forgot the attempt.
+func (m *Machine) LinkUp(same bool) {
+	if m.state == finished || m.linkUp {
+		return
+	}
+	m.linkUp = true
+	m.fx.Arm(TimerLost, 0)
+	switch {
+	case !same && m.state == cancelling:
+		m.settleCancel(true)
+	case !same:
+		m.lost("the agent restarted")
+	case m.state == cancelling:
+		m.fx.Send(&wire.Cancel{ID: m.id, Attempt: m.attempt})
+	default:
+		m.fx.Arm(TimerAnswer, m.cfg.Answer)
+		m.resume()
+	}
+}
+
+// lost gives up on the present attempt, which may have run.
+func (m *Machine) lost(why string) {
+	m.fx.Abandon(m.attempt)
+	m.attemptFailed(fault.New(fault.LinkLost, "%s", why).With(fault.Unknown))
+}
+
+// Timeout takes in a timer that ran out.
+func (m *Machine) Timeout(t Timer) {
+	if m.state == finished {
+		return
+	}
+	switch t {
+	case TimerLost:
+		if !m.linkUp && m.state != cancelling {
+			m.lost("the agent could not be reached")
+		}
+	case TimerAnswer:
+		if m.state == offered {
+			m.lost("the agent did not answer")
+		}
+	case TimerCancel:
+		if m.state == cancelling {
+			m.fx.Abandon(m.attempt)
+			m.settleCancel(true)
+		}
+	case TimerDeadline:
+		m.cancel(fault.New(fault.Deadline, "the request took too long"))
+	}
+}
+
+// cancel withdraws the present attempt and ends with cause once the agent has
+// said whether it ran.
+func (m *Machine) cancel(cause *fault.Error) {
+	if m.state == cancelling {
+		return
+	}
+	m.cause = cause
+	m.state = cancelling
+	m.fx.Arm(TimerCancel, m.cfg.Cancel)
+	m.fx.Send(&wire.Cancel{ID: m.id, Attempt: m.attempt})
+	if !m.linkUp {
+		m.fx.Abandon(m.attempt)
+		m.settleCancel(true) // decided: no reason to keep the caller waiting
+	}
+}
+
+// Cancelled takes in the agent's word on a cancel.
+func (m *Machine) Cancelled(c *wire.Cancelled) {
+	if m.mine(c.Attempt) && m.state == cancelling {
+		m.settleCancel(c.Ran)
+	}
+}
+
+func (m *Machine) settleCancel(ran bool) {
+	if ran {
+		m.unsettled++
+	}
+	m.finish(nil, m.cause)
+}
+
+// CallerGone says that nobody waits for the answer any more.
+func (m *Machine) CallerGone() {
+	if m.state == finished {
+		return
+	}
+	m.fx.Send(&wire.Cancel{ID: m.id, Attempt: m.attempt})
+	if !m.linkUp {
+		m.fx.Abandon(m.attempt)
+	}
+	m.unsettled++
+	m.finish(nil, fault.New(fault.Cancelled, "the caller went away"))
+}
+
+// finish gives the final word with the outcome that is true of all attempts.
+func (m *Machine) finish(end *wire.End, e *fault.Error) {
+	m.state = finished
+	for _, t := range []Timer{TimerLost, TimerCancel, TimerDeadline, TimerAnswer} {
+		m.fx.Arm(t, 0)
+	}
+	if e != nil {
+		final := *e
+		switch {
+		case m.asm.Next() > 0:
+			final.Outcome = fault.Partial
+		case m.unsettled > 0:
+			final.Outcome = fault.Unknown
+		default:
+			final.Outcome = fault.NotRun
+		}
+		e = &final
+	}
+	m.fx.Finish(end, e)
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -88,6 +88,7 @@
 	Tier          uint8
 	Floor         float64 // share of tokens that the class's tier is owed
 	Target        string  // "model@version", or service name
+	FirstTokenMS  int64   // target to the first token, 0: none
 	StartWithinMS int64   // the agent starts the work within this or never
 	RunWithinMS   int64   // the whole answer is due within this
 	MayRepeat     bool    // false: runs at most once
@@ -149,6 +150,7 @@
 type Cancel struct {
 	ID      string
 	Attempt uint32
+	AgeMS   int64 // since the attempt was offered
 }
 
 // Cancelled says what a Cancel met. Ran false means not run, now or later.
@@ -165,6 +167,7 @@
 	ID      string
 	Attempt uint32
 	Next    uint32
+	AgeMS   int64 // since the attempt was offered
 }
 
 // ConfigPull asks the peer for its configuration if newer than Above.
