--- /dev/null
+++ b/e2e/state_test.go
@@ -0,0 +1,225 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/adminapi/command"
+	"github.com/merlinpost/merlinpost/internal/adminapi/query"
+	"github.com/merlinpost/merlinpost/internal/agent"
+	"github.com/merlinpost/merlinpost/internal/operator"
+	"github.com/merlinpost/merlinpost/internal/resource"
+	"github.com/merlinpost/merlinpost/internal/standin/engine"
+
+	"context"
+)
+
+// seed declares the deployment through the first router's operators' API.
+func (c *cluster) seed() error {
+	if err := eventually("router-0 is ready", func() error {
+		var s query.Status
+		if err := c.getJSON("http://"+c.operators("router-0")+"/v1/status", &s); err != nil {
+			return err
+		}
+		if !s.Ready {
+			return fmt.Errorf("not ready")
+		}
+		return nil
+	}); err != nil {
+		return err
+	}
+	desired, err := resource.ParseDocument("seed", []byte(c.document()))
+	if err != nil {
+		return err
+	}
+	client := operator.New(c.operators("router-0"), operatorKey)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	set, _, err := client.Plan(ctx, desired)
+	if err != nil {
+		return err
+	}
+	_, err = client.Change(ctx, set, "")
+	return err
+}
+
+// document is the deployment's configuration as an operator would write it.
+func (c *cluster) document() string {
+	var b strings.Builder
+	b.WriteString(`
+[[resource]]
+kind = "class"
+name = "helpline"
+spec = { tier = 0, first_token_ms = 400, between_tokens_ms = 49, max_wait_ms = 20000, max_run_ms = 60000, max_tokens = 4096 }
+[[resource]]
+kind = "class"
+name = "alert"
+spec = { tier = 1, first_token_ms = 2000, max_wait_ms = 20000, max_run_ms = 60000, max_tokens = 4096, preemptible = true, floor = 0.05 }
+[[resource]]
+kind = "class"
+name = "report"
+spec = { tier = 3, max_wait_ms = 600000, max_run_ms = 600000, max_tokens = 8192, preemptible = true, floor = 0.1 }
+`)
+	c.pool(&b, "engines", "engine", c.Engines)
+	if c.Engines > 0 {
+		b.WriteString("[[resource]]\nkind = \"model\"\nname = \"advisory\"\nspec = { pool = \"engines\" }\n")
+	}
+	c.pool(&b, "workers", "service", c.Services)
+	if c.Services > 0 {
+		fmt.Fprintf(&b, "[[resource]]\nkind = \"service\"\nname = \"receipts\"\nspec = { pool = \"workers\", path = \"/receipts\", key_window_ms = %d }\n", c.KeyWindowMS)
+		b.WriteString("[[resource]]\nkind = \"service\"\nname = \"status\"\nspec = { pool = \"workers\", path = \"/status\", may_repeat = true }\n")
+	}
+	fmt.Fprintf(&b, "[[resource]]\nkind = \"team\"\nname = \"board\"\nspec = { keys_sha256 = [%q], default_class = \"alert\", classes = [\"helpline\", \"report\"] }\n",
+		resource.HashKey(teamKey))
+	return b.String()
+}
+
+func (c *cluster) pool(b *strings.Builder, name, server string, n int) {
+	if n == 0 {
+		return
+	}
+	fmt.Fprintf(b, "[[resource]]\nkind = \"pool\"\nname = %q\n", name)
+	for i := range n {
+		s := fmt.Sprintf("%s-%d", server, i)
+		fmt.Fprintf(b, "[[resource.spec.servers]]\nname = %q\nagent = \"%s:7300\"\nfailure_domain = %q\n", s, c.address("agent-"+s), c.domain(i))
+	}
+}
+
+// status asks a router what it knows.
+func (c *cluster) status(router string) (s query.Status, err error) {
+	return s, c.getJSON("http://"+c.operators(router)+"/v1/status", &s)
+}
+
+func (c *cluster) agentStatus(name string) (s agent.Status, err error) {
+	return s, c.getJSON("http://"+c.address(name)+":7301/v1/status", &s)
+}
+
+// waitReady waits until every running router has a link to every agent whose
+// backend server serves.
+func (c *cluster) waitReady() error {
+	return eventually("the deployment is ready", func() error {
+		for i := range c.Routers {
+			name := fmt.Sprint("router-", i)
+			if p, _ := c.proc(name); p == nil || p.stopped() {
+				continue
+			}
+			s, err := c.status(name)
+			if err != nil {
+				return err
+			}
+			serving := 0
+			for _, p := range s.Processes {
+				if p.Role == "agent" && p.Up && p.Serving && !p.Leaving {
+					serving++
+				}
+			}
+			if serving != c.Engines+c.Services {
+				return fmt.Errorf("%s reaches %d agents that serve of %d", name, serving, c.Engines+c.Services)
+			}
+		}
+		return nil
+	})
+}
+
+func (p *proc) stopped() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// waitRevision waits until every router and agent named has the revision, and
+// returns how long that took.
+func (c *cluster) waitRevision(names []string, revision uint64) (time.Duration, error) {
+	begin := time.Now()
+	err := eventually(fmt.Sprintf("revision %d everywhere", revision), func() error {
+		for _, n := range names {
+			got, err := c.revision(n)
+			if err != nil {
+				return err
+			}
+			if got < revision {
+				return fmt.Errorf("%s has revision %d", n, got)
+			}
+		}
+		return nil
+	})
+	return time.Since(begin), err
+}
+
+func (c *cluster) revision(name string) (uint64, error) {
+	if strings.HasPrefix(name, "router-") {
+		s, err := c.status(name)
+		return s.Revision, err
+	}
+	s, err := c.agentStatus(name)
+	return s.Revision, err
+}
+
+// everyone lists the routers and agents.
+func (c *cluster) everyone() []string {
+	var out []string
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n := range c.procs {
+		if strings.HasPrefix(n, "router-") || strings.HasPrefix(n, "agent-") {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// setClass changes a class through a router and returns the answer's status
+// and the revision.
+func (c *cluster) setClass(router, name, spec, ifMatch string) (int, uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	header := map[string]string{"Authorization": "Bearer " + operatorKey}
+	if ifMatch != "" {
+		header["If-Match"] = ifMatch
+	}
+	status, _, data, err := c.request(ctx, http.MethodPut, "http://"+c.operators(router)+"/v1/class/"+name, header, []byte(spec))
+	if err != nil {
+		return 0, 0, err
+	}
+	var a command.Accepted
+	if status == http.StatusOK {
+		err = json.Unmarshal(data, &a)
+	}
+	return status, a.Revision, err
+}
+
+// executions asks every engine what it ran, by request.
+func (c *cluster) executions() (map[string]int, error) {
+	out := map[string]int{}
+	for i := range c.Engines {
+		var list []engine.Execution
+		if err := c.getJSON(fmt.Sprintf("http://%s:7100/standin/executions", c.address(fmt.Sprint("engine-", i))), &list); err != nil {
+			return nil, err
+		}
+		for _, x := range list {
+			out[x.RequestID] += x.Starts
+		}
+	}
+	return out, nil
+}
+
+// runs asks every plain service what it ran, by body.
+func (c *cluster) runs() (map[string]int, error) {
+	out := map[string]int{}
+	for i := range c.Services {
+		var list map[string]int
+		if err := c.getJSON(fmt.Sprintf("http://%s:7100/standin/runs", c.address(fmt.Sprint("service-", i))), &list); err != nil {
+			return nil, err
+		}
+		for body, n := range list {
+			out[body] += n
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/agent/core.go
@@ -0,0 +1,214 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/admission"
+	"github.com/merlinpost/merlinpost/internal/execution"
+	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/link"
+	"github.com/merlinpost/merlinpost/internal/receipt"
+	"github.com/merlinpost/merlinpost/internal/settings"
+	"github.com/merlinpost/merlinpost/internal/telemetry"
+	"github.com/merlinpost/merlinpost/internal/wire"
+)
+
+// Sizes and timing of the core's duty.
+const (
+	inboxSize     = 4096
+	tickEvery     = 10 * time.Millisecond
+	sweepEvery    = time.Second
+	maxHeld       = 20_000
+	maxTombstones = 100_000
+	tombstoneFor  = 10 * time.Minute
+	// orphanFactor times the routers' lost time is how long an attempt goes
+	// on without a link: longer than any router waits to resume it.
+	orphanFactor = 3
+)
+
+// event is one thing that happened, run by the core's goroutine.
+type event func(now time.Time)
+
+// coreDuty is the goroutine that owns the execution core. It implements
+// execution.Effects; those methods run on that goroutine.
+type coreDuty struct {
+	agent  *Agent
+	inbox  chan event
+	core   *execution.Core
+	conns  map[execution.LinkID]*link.Conn
+	calls  map[callID]context.CancelFunc
+	ctx    context.Context // of the duty, for the calls it starts
+	load   atomic.Pointer[wire.Load]
+	told   execution.Counters
+	lastID atomic.Uint64
+}
+
+type callID struct {
+	key    execution.Key
+	number int
+}
+
+func newCoreDuty(a *Agent) *coreDuty {
+	d := &coreDuty{agent: a, inbox: make(chan event, inboxSize), conns: map[execution.LinkID]*link.Conn{},
+		calls: map[callID]context.CancelFunc{}}
+	s := a.set.Admission
+	d.core = execution.New(execution.Config{
+		Admission: admission.Config{Slots: a.set.Server.Slots, QueueLimit: s.QueueLimit, MaxPreemptions: s.MaxPreemptions,
+			FloorWindow: settings.Millis(s.FloorWindowMS), FIFO: s.Order == "fifo",
+			Preemption: s.Preemption, Floors: s.Floors, Fairness: s.Fairness, EarlyRefusal: s.EarlyRefusal},
+		MaxHeld: maxHeld, OrphanAfter: orphanFactor * settings.Millis(a.set.Link.LostMS),
+		TombstoneFor: tombstoneFor, MaxTombstones: maxTombstones,
+	}, time.Now(), d, a.serving.has)
+	d.load.Store(d.core.Load())
+	return d
+}
+
+// post hands an event to the core's goroutine, waiting for room; that is the
+// back pressure on links and engine calls.
+func (d *coreDuty) post(ctx context.Context, e event) {
+	select {
+	case d.inbox <- e:
+	case <-ctx.Done():
+	}
+}
+
+func (d *coreDuty) run(ctx context.Context) {
+	d.ctx = ctx
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	swept := time.Now()
+	for {
+		select {
+		case e := <-d.inbox:
+			e(time.Now())
+		case <-tick.C:
+			now := time.Now()
+			d.core.Tick(now)
+			if now.Sub(swept) >= sweepEvery {
+				swept = now
+				d.core.Sweep(now)
+				d.tell()
+			}
+			d.load.Store(d.core.Load())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// idle asks the core whether nothing is held.
+func (d *coreDuty) idle(ctx context.Context) bool {
+	answer := make(chan bool, 1)
+	d.post(ctx, func(time.Time) { answer <- d.core.Idle() })
+	select {
+	case idle := <-answer:
+		return idle
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// drain refuses new work and tells every router at once.
+func (d *coreDuty) drain() {
+	d.post(context.Background(), func(time.Time) {
+		d.core.Drain()
+		d.load.Store(d.core.Load())
+		for _, c := range d.conns {
+			c.Send(d.beat())
+		}
+	})
+}
+
+// beat makes a heartbeat without the list of targets.
+func (d *coreDuty) beat() *wire.Beat {
+	return &wire.Beat{Revision: d.agent.config.View().Revision, Load: d.load.Load()}
+}
+
+// tell publishes the totals since the last time.
+func (d *coreDuty) tell() {
+	c := d.core.Counters()
+	add := func(name string, now, before uint64) { telemetry.Add(name, int(now-before)) }
+	add("merlinpost_agent_accepted_total", c.Accepted, d.told.Accepted)
+	add("merlinpost_agent_refused_total", c.Refused, d.told.Refused)
+	add("merlinpost_agent_expired_total", c.Expired, d.told.Expired)
+	add("merlinpost_agent_started_total", c.Started, d.told.Started)
+	add("merlinpost_agent_preempted_total", c.Preempted, d.told.Preempted)
+	add("merlinpost_agent_cancelled_total", c.Cancelled, d.told.Cancelled)
+	add("merlinpost_agent_orphaned_total", c.Orphaned, d.told.Orphaned)
+	add("merlinpost_agent_tokens_total", c.Tokens, d.told.Tokens)
+	add("merlinpost_agent_wasted_tokens_total", c.WastedTokens, d.told.WastedTokens)
+	add("merlinpost_agent_tombstoned_offers_total", c.Tombstoned, d.told.Tombstoned)
+	d.told = c
+	telemetry.Gauge("merlinpost_agent_held", float64(d.core.Held()))
+	telemetry.Gauge("merlinpost_agent_tombstones", float64(d.core.Tombstones()))
+	telemetry.Gauge("merlinpost_agent_keys", float64(d.core.Book().Len()))
+}
+
+// Send implements execution.Effects.
+func (d *coreDuty) Send(id execution.LinkID, m wire.Message) bool {
+	c := d.conns[id]
+	return c != nil && c.Send(m)
+}
+
+// Start implements execution.Effects.
+func (d *coreDuty) Start(r execution.Run) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	id := callID{r.Key, r.Number}
+	d.calls[id] = cancel
+	if r.Offer.Kind == wire.Service {
+		go d.callService(ctx, id, r)
+		return
+	}
+	go d.callEngine(ctx, id, r)
+}
+
+// Stop implements execution.Effects.
+func (d *coreDuty) Stop(k execution.Key, number int) {
+	if cancel := d.calls[callID{k, number}]; cancel != nil {
+		cancel()
+	}
+}
+
+// Claim implements execution.Effects.
+func (d *coreDuty) Claim(k execution.Key, o *wire.Offer) { go d.agent.claim(d.ctx, k, o) }
+
+func (d *coreDuty) callEngine(ctx context.Context, id callID, r execution.Run) {
+	end, err := d.agent.engine.generate(ctx, r, func(data []byte) {
+		d.post(ctx, func(now time.Time) { d.core.Token(now, r.Key, r.Number, data, 1) })
+	})
+	d.ended(id, r, nil, end, err)
+}
+
+func (d *coreDuty) callService(ctx context.Context, id callID, r execution.Run) {
+	body, end, err := d.agent.service.call(ctx, r)
+	d.ended(id, r, body, end, err)
+}
+
+// ended reports the end of a call, with a plain service's whole answer.
+func (d *coreDuty) ended(id callID, r execution.Run, body []byte, end wire.End, e *fault.Error) {
+	d.post(d.ctx, func(now time.Time) {
+		if cancel := d.calls[id]; cancel != nil {
+			cancel()
+			delete(d.calls, id)
+		}
+		if body != nil {
+			d.core.Token(now, r.Key, r.Number, body, 0)
+		}
+		d.core.Ended(now, r.Key, r.Number, end, e)
+	})
+}
+
+// settleClaim decides on a keyed call with the witness's word.
+func (d *coreDuty) settleClaim(ctx context.Context, k execution.Key, o *wire.Offer, word receipt.Word, moved bool) {
+	d.post(ctx, func(now time.Time) {
+		window := time.Duration(o.KeyWindowMS) * time.Millisecond
+		decision := d.core.Book().Decide(now, window, word, moved)
+		if decision == receipt.RunOnceKept {
+			go d.agent.keepClaim(ctx, k, o)
+			return
+		}
+		d.core.ClaimSettled(now, k, decision)
+	})
+}
--- /dev/null
+++ b/internal/agent/orders.go
@@ -0,0 +1,126 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/rendezvous"
+	"github.com/merlinpost/merlinpost/internal/resource"
+	"github.com/merlinpost/merlinpost/internal/telemetry"
+)
+
+// Timing of orders.
+const (
+	convergeEvery = time.Second
+	// loadTurn is how long each turn at the weight store lasts, and
+	// turnsAtOnce how many servers of a pool have theirs at the same time.
+	loadTurn    = 2 * time.Second
+	turnsAtOnce = 2
+	loadTimeout = 10 * time.Minute
+)
+
+// target is a model version that the engine should have loaded.
+type target struct {
+	name    string // "model@version"
+	adapter bool
+}
+
+// desired lists what the configuration wants loaded on a server.
+func desired(v *resource.View, server string) []target {
+	var out []target
+	for name, m := range v.Models {
+		if pool := v.Pools[m.Pool]; pool == nil || !pool.Has(server) {
+			continue
+		}
+		out = append(out, target{name + "@" + resource.BaseVersion, false})
+		for _, r := range v.RolloutsOf(name) {
+			out = append(out, target{name + "@" + r.Version, r.Adapter})
+		}
+	}
+	slices.SortFunc(out, func(a, b target) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// converge brings the engine to what the configuration wants, one order at a
+// time, and repairs what a stale agent ordered.
+func (a *Agent) converge(ctx context.Context) {
+	since := map[string]time.Time{} // when a missing target was first seen
+	for ctx.Err() == nil {
+		changed := a.config.Changed()
+		if a.config.Ready() && !a.stopping.Load() {
+			a.convergeOnce(ctx, since)
+		}
+		select {
+		case <-changed:
+		case <-time.After(convergeEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (a *Agent) convergeOnce(ctx context.Context, since map[string]time.Time) {
+	v := a.config.View()
+	loaded, err := a.engine.loaded(ctx)
+	if err != nil {
+		return
+	}
+	want := desired(v, a.set.Name)
+	for _, t := range want {
+		if slices.Contains(loaded, t.name) {
+			delete(since, t.name)
+			continue
+		}
+		if _, known := since[t.name]; !known {
+			since[t.name] = time.Now()
+		}
+		if time.Since(since[t.name]) >= a.turn(v, t.name) {
+			a.order(ctx, order{Op: "load", Target: t.name, Adapter: t.adapter})
+		}
+	}
+	for _, name := range loaded {
+		if len(want) > 0 && !slices.ContainsFunc(want, func(t target) bool { return t.name == name }) {
+			a.order(ctx, order{Op: "unload", Target: name})
+		}
+	}
+}
+
+// turn returns how long this server waits for its turn at the weight store:
+// the servers of the pool go in rendezvous order of the target.
+func (a *Agent) turn(v *resource.View, name string) time.Duration {
+	if a.set.Weights.Address == "" {
+		return 0
+	}
+	place := 0
+	for _, pool := range v.PoolsOf(a.set.Name) {
+		place = max(place, slices.Index(rendezvous.Rank(name, serverNames(v.Pools[pool])), a.set.Name))
+	}
+	return time.Duration(place/turnsAtOnce) * loadTurn
+}
+
+// order gives one order if this process still holds the lease. The engine
+// checks the fencing number where it can; where it can't, the log is asked
+// just before, and the state is looked at again at the next turn.
+func (a *Agent) order(ctx context.Context, o order) {
+	if a.lease.Fence() == 0 || (!a.set.Server.Fencing && !a.lease.Current(ctx)) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	o.Fence, o.By = a.lease.Fence(), a.incarnation
+	err := a.engine.give(ctx, o)
+	telemetry.Count("merlinpost_agent_orders_total", "op", o.Op)
+	if err != nil {
+		telemetry.Count("merlinpost_agent_orders_failed_total", "op", o.Op)
+		return
+	}
+	a.logger.Info("order carried out", "op", o.Op, "target", o.Target, "fence", o.Fence)
+	if err := a.refreshServing(ctx); err != nil {
+		a.logger.Debug("engine not asked again", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/assembly/assembly.go
@@ -0,0 +1,70 @@
+// Package assembly puts the parts of a process together from its settings. The
+// command line and the embedded deployment both use it.
+package assembly
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/merlinpost/merlinpost/internal/adminapi"
+	"github.com/merlinpost/merlinpost/internal/adminapi/command"
+	"github.com/merlinpost/merlinpost/internal/adminapi/query"
+	"github.com/merlinpost/merlinpost/internal/callerapi"
+	"github.com/merlinpost/merlinpost/internal/router"
+	"github.com/merlinpost/merlinpost/internal/settings"
+	"github.com/merlinpost/merlinpost/internal/telemetry"
+)
+
+// Router is a router with its APIs and listening sockets.
+type Router struct {
+	*router.Router
+	listeners router.Listeners
+	pages     router.Pages
+}
+
+// NewRouter opens the sockets of a router and puts it together.
+func NewRouter(set settings.Router, logger *slog.Logger) (*Router, error) {
+	r, err := router.New(set, logger)
+	if err != nil {
+		return nil, err
+	}
+	operators, err := adminapi.New(set.Operators.Keys, openPages(r),
+		command.New(r.Config, time.Now), query.New(r.Config, r.Status))
+	if err != nil {
+		return nil, err
+	}
+	listeners, err := router.Listen(set)
+	if err != nil {
+		return nil, err
+	}
+	callers := callerapi.New(r, r.Config.View, set.Callers, logger).Handler()
+	return &Router{r, listeners, router.Pages{Callers: callers, Operators: operators}}, nil
+}
+
+// openPages are the operators' pages that need no key.
+func openPages(r *router.Router) func(app *iris.Application) {
+	return func(app *iris.Application) {
+		app.Get("/metrics", iris.FromStd(telemetry.Handler()))
+		app.Get("/healthz", func(ctx iris.Context) { _, _ = fmt.Fprintln(ctx.ResponseWriter(), "ok") })
+		app.Get("/readyz", func(ctx iris.Context) {
+			if !r.Ready() {
+				ctx.StatusCode(iris.StatusServiceUnavailable)
+			}
+		})
+	}
+}
+
+// CallersAddress returns the address of the callers' API.
+func (r *Router) CallersAddress() string { return r.listeners.Callers.Addr().String() }
+
+// OperatorsAddress returns the address of the operators' API.
+func (r *Router) OperatorsAddress() string { return r.listeners.Operators.Addr().String() }
+
+// Serve runs the router until ctx ends or, gracefully, until stop is closed.
+func (r *Router) Serve(ctx context.Context, stop <-chan struct{}) error {
+	return r.Router.Serve(ctx, stop, r.listeners, r.pages)
+}
--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,124 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/standin"
+	"github.com/merlinpost/merlinpost/internal/standin/engine"
+	"github.com/merlinpost/merlinpost/internal/standin/logservice"
+	"github.com/merlinpost/merlinpost/internal/standin/members"
+	"github.com/merlinpost/merlinpost/internal/standin/plain"
+	"github.com/merlinpost/merlinpost/internal/standin/weights"
+)
+
+type standinCmd struct {
+	Log     *standinLogCmd     `arg:"subcommand:log" help:"the append-only log service"`
+	Members *standinMembersCmd `arg:"subcommand:members" help:"the membership list"`
+	Weights *standinWeightsCmd `arg:"subcommand:weights" help:"the weight store"`
+	Engine  *standinEngineCmd  `arg:"subcommand:engine" help:"a model engine"`
+	Service *standinServiceCmd `arg:"subcommand:service" help:"a plain service"`
+}
+
+func (c *standinCmd) run(ctx context.Context, out io.Writer) error {
+	switch {
+	case c.Log != nil:
+		return c.Log.run(ctx, out)
+	case c.Members != nil:
+		return c.Members.run(ctx, out)
+	case c.Weights != nil:
+		return c.Weights.run(ctx, out)
+	case c.Engine != nil:
+		return c.Engine.run(ctx, out)
+	case c.Service != nil:
+		return c.Service.run(ctx, out)
+	}
+	return fault.New(fault.BadRequest, "which stand-in? log, members, weights, engine or service")
+}
+
+// serveUntilStopped serves a stand-in and prints its address.
+func serveUntilStopped(ctx context.Context, out io.Writer, address string, h http.Handler) error {
+	ctx, stop := stopSignals(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	actual, err := standin.Serve(ctx, address, h)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(out, actual); err != nil {
+		return err
+	}
+	select {
+	case <-stop:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+type standinLogCmd struct {
+	Listen string `arg:"--listen" default:"127.0.0.1:7000"`
+	File   string `arg:"--file" help:"keep the records in this file over restarts"`
+}
+
+func (c *standinLogCmd) run(ctx context.Context, out io.Writer) error {
+	s, err := logservice.Open(c.File)
+	if err != nil {
+		return err
+	}
+	return serveUntilStopped(ctx, out, c.Listen, s.Handler())
+}
+
+type standinMembersCmd struct {
+	Listen string        `arg:"--listen" default:"127.0.0.1:7001"`
+	Lag    time.Duration `arg:"--lag" default:"1s" help:"how late changes show"`
+}
+
+func (c *standinMembersCmd) run(ctx context.Context, out io.Writer) error {
+	return serveUntilStopped(ctx, out, c.Listen, members.New(c.Lag).Handler())
+}
+
+type standinWeightsCmd struct {
+	Listen string `arg:"--listen" default:"127.0.0.1:7002"`
+	Size   int    `arg:"--size" default:"4000000" help:"bytes of each model's weights"`
+	Rate   int    `arg:"--rate" default:"8000000" help:"bytes a second for all readers"`
+}
+
+func (c *standinWeightsCmd) run(ctx context.Context, out io.Writer) error {
+	return serveUntilStopped(ctx, out, c.Listen, weights.New(c.Size, c.Rate).Handler())
+}
+
+type standinEngineCmd struct {
+	Listen    string        `arg:"--listen" default:"127.0.0.1:7100"`
+	Name      string        `arg:"--name" default:"engine"`
+	Step      time.Duration `arg:"--step" default:"3ms" help:"time of a decoding step"`
+	StepPer   time.Duration `arg:"--step-per-sequence" default:"20us" help:"what each running sequence adds to a step"`
+	Prefill   time.Duration `arg:"--prefill" default:"500us" help:"time to prefill a block of 16 words"`
+	Batch     int           `arg:"--batch" default:"16" help:"most sequences at once"`
+	Cache     int           `arg:"--cache" default:"4096" help:"blocks in the prefix cache"`
+	Fencing   bool          `arg:"--fencing" help:"refuse orders with an old fencing number"`
+	Lag       time.Duration `arg:"--report-lag" default:"1s" help:"age of load reports and cache events"`
+	EventLoss float64       `arg:"--event-loss" default:"0.05" help:"share of cache events lost"`
+	Weights   string        `arg:"--weights" help:"address of the weight store"`
+	Loaded    []string      `arg:"--loaded,separate" help:"target loaded from the start"`
+	Seed      uint64        `arg:"--seed" default:"1"`
+}
+
+func (c *standinEngineCmd) run(ctx context.Context, out io.Writer) error {
+	e := engine.New(engine.Config{Name: c.Name, Step: c.Step, StepPerSeq: c.StepPer, PrefillPerBlock: c.Prefill, MaxBatch: c.Batch,
+		CacheBlocks: c.Cache, Fencing: c.Fencing, ReportLag: c.Lag, EventLoss: c.EventLoss, Weights: c.Weights, Loaded: c.Loaded, Seed: c.Seed})
+	go e.Run(ctx)
+	return serveUntilStopped(ctx, out, c.Listen, e.Handler())
+}
+
+type standinServiceCmd struct {
+	Listen string `arg:"--listen" default:"127.0.0.1:7200"`
+	Name   string `arg:"--name" default:"service"`
+}
+
+func (c *standinServiceCmd) run(ctx context.Context, out io.Writer) error {
+	return serveUntilStopped(ctx, out, c.Listen, plain.New(c.Name).Handler())
+}
--- a/internal/configlog/log.go
+++ b/internal/configlog/log.go
@@ -15,16 +15,44 @@
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/httpsent"
 )
 
 // The streams that the system uses on the log.
 const (
 	StreamConfig    = "config"
 	StreamSnapshots = "config-snapshots"
-	StreamLeases    = "leases"
-	StreamClaims    = "claims"
 )
 
+// LeaseStream returns the name of the stream of an agent's leases.
+func LeaseStream(agent string) string { return "lease." + agent }
+
+// ClaimStream returns the name of the stream of the claims that an agent could
+// not leave with a witness.
+func ClaimStream(agent string) string { return "claims." + agent }
+
+// ReadAll gives every record that a stream still has to f, and reports whether
+// records from the start of the stream are gone.
+func ReadAll(ctx context.Context, l Log, stream string, f func(Entry)) (next uint64, truncated bool, err error) {
+	for next = 1; ; {
+		batch, err := l.Read(ctx, stream, next, 0)
+		if fault.Is(err, fault.LogTruncated) {
+			truncated, next = true, batch.First
+			continue
+		}
+		if err != nil {
+			return next, truncated, err
+		}
+		for _, e := range batch.Entries {
+			f(e)
+			next = e.Offset + 1
+		}
+		if next >= batch.Next {
+			return next, truncated, nil
+		}
+	}
+}
+
 // Entry is one record of a stream.
 type Entry struct {
 	Offset uint64 `json:"offset"`
@@ -75,10 +103,10 @@
 	if err != nil {
 		return 0, fault.New(fault.Internal, "log append: %w", err)
 	}
-	sent := false
-	resp, err := c.http.Do(traceSent(req, &sent))
+	req, sent := httpsent.Trace(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
-		if !sent {
+		if !sent.Load() {
 			return 0, fault.New(fault.LogDown, "log append: %w", err).With(fault.NotRun)
 		}
 		return 0, fault.New(fault.LogUnsettled, "log append: %w", err).With(fault.Unknown)
--- a/internal/configlog/snapshot.go
+++ b/internal/configlog/snapshot.go
@@ -70,22 +70,9 @@
 // than the state.
 func (f *Follower) loadSnapshot(ctx context.Context) error {
 	a := newAssembler()
-	for from := uint64(1); ; {
-		batch, err := f.log.Read(ctx, StreamSnapshots, from, 0)
-		if fault.Is(err, fault.LogTruncated) {
-			from = batch.First
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		for _, e := range batch.Entries {
-			a.add(e.Data)
-			from = e.Offset + 1
-		}
-		if len(batch.Entries) == 0 || from >= batch.Next {
-			break
-		}
+	_, _, err := ReadAll(ctx, f.log, StreamSnapshots, func(e Entry) { a.add(e.Data) })
+	if err != nil {
+		return err
 	}
 	if a.data == nil {
 		return f.checkGap(ctx)
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,285 @@
+// Package dev runs a whole deployment in one process: stand-ins of the outside
+// systems, agents beside the stand-in backend servers, and a router. All of
+// them talk over real sockets on the loopback.
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/agent"
+	"github.com/merlinpost/merlinpost/internal/assembly"
+	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/membership"
+	"github.com/merlinpost/merlinpost/internal/resource"
+	"github.com/merlinpost/merlinpost/internal/settings"
+	"github.com/merlinpost/merlinpost/internal/standin"
+	"github.com/merlinpost/merlinpost/internal/standin/engine"
+	"github.com/merlinpost/merlinpost/internal/standin/logservice"
+	"github.com/merlinpost/merlinpost/internal/standin/members"
+	"github.com/merlinpost/merlinpost/internal/standin/plain"
+)
+
+// The keys of the deployment.
+const (
+	TeamKey     = "dev"
+	OperatorKey = "dev-operator"
+)
+
+const (
+	domains      = 2
+	anyPort      = "127.0.0.1:0"
+	readyWithin  = 15 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	devStep      = 3 * time.Millisecond
+	devSlots     = 16
+	defaultEach  = 2
+	devKeyWindow = 10 * 60 * 1000
+)
+
+// Options is the size of the deployment.
+type Options struct {
+	Callers, Operators string
+	// Engines and Services are numbers of backend servers; 0: two of each.
+	Engines, Services int
+	// Step is the engines' step time; 0: 3 ms.
+	Step time.Duration
+	// Tune changes an agent's settings before it starts.
+	Tune func(*settings.Agent)
+	// TuneRouter changes the router's settings before it starts.
+	TuneRouter func(*settings.Router)
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	*assembly.Router
+	Log     *logservice.Service
+	Members *members.List
+	Engines []*engine.Engine
+	// EngineAddresses are where the engines can be called directly.
+	EngineAddresses []string
+	Services        []*plain.Service
+	Agents          []*agent.Agent
+
+	logAddress, membersAddress string
+	servers                    map[string][]resource.Server
+	cancel                     context.CancelFunc
+	stopRouter                 chan struct{}
+	duties                     sync.WaitGroup
+}
+
+// Start starts the deployment and returns when it serves requests.
+func Start(ctx context.Context, opts Options, logger *slog.Logger) (*Deployment, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	d := &Deployment{cancel: cancel, servers: map[string][]resource.Server{}, stopRouter: make(chan struct{})}
+	if err := d.start(ctx, opts, logger); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context, opts Options, logger *slog.Logger) error {
+	if opts.Engines == 0 {
+		opts.Engines = defaultEach
+	}
+	if opts.Services == 0 {
+		opts.Services = defaultEach
+	}
+	if opts.Step == 0 {
+		opts.Step = devStep
+	}
+	if err := d.startPlatform(ctx); err != nil {
+		return err
+	}
+	for i := range opts.Engines {
+		if err := d.addEngine(ctx, i, opts, logger); err != nil {
+			return err
+		}
+	}
+	for i := range opts.Services {
+		if err := d.addService(ctx, i, opts, logger); err != nil {
+			return err
+		}
+	}
+	if err := d.seed(); err != nil {
+		return err
+	}
+	if err := d.startRouter(ctx, opts, logger); err != nil {
+		return err
+	}
+	return d.waitReady(ctx)
+}
+
+func (d *Deployment) startPlatform(ctx context.Context) (err error) {
+	d.Log, d.Members = logservice.New(), members.New(time.Second)
+	if d.logAddress, err = standin.Serve(ctx, anyPort, d.Log.Handler()); err != nil {
+		return err
+	}
+	d.membersAddress, err = standin.Serve(ctx, anyPort, d.Members.Handler())
+	return err
+}
+
+func domain(i int) string { return string(rune('a' + i%domains)) }
+
+func (d *Deployment) addEngine(ctx context.Context, i int, opts Options, logger *slog.Logger) error {
+	e := engine.New(engine.Config{Name: fmt.Sprint("engine-", i), Step: opts.Step, StepPerSeq: opts.Step / 150,
+		PrefillPerBlock: opts.Step / 6, MaxBatch: devSlots, CacheBlocks: 4096, Fencing: i%2 == 0, ReportLag: time.Second,
+		EventLoss: 0.05, Loaded: []string{"advisory@" + resource.BaseVersion}, Seed: uint64(i)})
+	address, err := standin.Serve(ctx, anyPort, e.Handler())
+	if err != nil {
+		return err
+	}
+	d.duties.Go(func() { e.Run(ctx) })
+	d.Engines = append(d.Engines, e)
+	d.EngineAddresses = append(d.EngineAddresses, address)
+	return d.addAgent(ctx, "engines", settings.Server{Kind: "engine", Address: address, Slots: devSlots, Fencing: i%2 == 0,
+		Role: "mixed", StallMS: 10000}, i, opts, logger)
+}
+
+func (d *Deployment) addService(ctx context.Context, i int, opts Options, logger *slog.Logger) error {
+	s := plain.New("receipts")
+	address, err := standin.Serve(ctx, anyPort, s.Handler())
+	if err != nil {
+		return err
+	}
+	d.Services = append(d.Services, s)
+	return d.addAgent(ctx, "workers", settings.Server{Kind: "service", Address: address, Slots: devSlots, Role: "mixed", StallMS: 10000},
+		i, opts, logger)
+}
+
+func (d *Deployment) addAgent(ctx context.Context, pool string, server settings.Server, i int, opts Options, logger *slog.Logger) error {
+	set := settings.DefaultAgent()
+	set.Name, set.FailureDomain = fmt.Sprintf("%s-%d", pool, i), domain(i)
+	set.Listen, set.Metrics, set.Server = anyPort, anyPort, server
+	set.Log.Address, set.Members.Address = d.logAddress, d.membersAddress
+	if opts.Tune != nil {
+		opts.Tune(&set)
+	}
+	a, err := agent.New(set, logger)
+	if err != nil {
+		return err
+	}
+	d.duties.Go(func() {
+		if err := a.Run(ctx); err != nil {
+			logger.Error("agent ended", "error", err)
+		}
+	})
+	d.Agents = append(d.Agents, a)
+	d.servers[pool] = append(d.servers[pool], resource.Server{Name: set.Name, Agent: a.Address(), FailureDomain: set.FailureDomain})
+	return nil
+}
+
+// seed puts the first configuration on the log.
+func (d *Deployment) seed() error {
+	specs := []struct {
+		kind resource.Kind
+		name string
+		spec resource.Spec
+	}{
+		{resource.KindClass, "helpline", &resource.Class{Tier: 0, FirstTokenMS: 400, BetweenTokensMS: 49, MaxWaitMS: 10000, MaxRunMS: 60000, MaxTokens: 2048}},
+		{resource.KindClass, "alert", &resource.Class{Tier: 1, FirstTokenMS: 2000, MaxWaitMS: 30000, MaxRunMS: 120000, Preemptible: true, Floor: 0.05, MaxTokens: 2048}},
+		{resource.KindClass, "report", &resource.Class{Tier: 3, MaxWaitMS: 600000, MaxRunMS: 3600000, Preemptible: true, Floor: 0.1, MaxTokens: 8192}},
+		{resource.KindPool, "engines", &resource.Pool{Servers: d.servers["engines"]}},
+		{resource.KindPool, "workers", &resource.Pool{Servers: d.servers["workers"]}},
+		{resource.KindModel, "advisory", &resource.Model{Pool: "engines"}},
+		{resource.KindService, "receipts", &resource.Service{Pool: "workers", Path: "/receipts", KeyWindowMS: devKeyWindow}},
+		{resource.KindService, "status", &resource.Service{Pool: "workers", Path: "/status", MayRepeat: true}},
+		{resource.KindTeam, "dev", &resource.Team{KeysSHA256: []string{resource.HashKey(TeamKey)}, DefaultClass: "alert", Classes: []string{"helpline", "report"}}},
+	}
+	rec := resource.Record{Operation: "seed", Actor: "dev"}
+	for _, s := range specs {
+		data, err := json.Marshal(s.spec)
+		if err != nil {
+			return fault.New(fault.Internal, "encode %s/%s: %w", s.kind, s.name, err)
+		}
+		rec.Changes = append(rec.Changes, resource.Change{Verb: resource.Put, Kind: s.kind, Name: s.name, Spec: data})
+	}
+	data, err := json.Marshal(rec)
+	if err != nil {
+		return fault.New(fault.Internal, "encode seed: %w", err)
+	}
+	if err := resource.NewFold().Check(rec); err != nil {
+		return err
+	}
+	_, err = d.Log.Append("config", data)
+	return err
+}
+
+func (d *Deployment) startRouter(ctx context.Context, opts Options, logger *slog.Logger) error {
+	set := settings.DefaultRouter()
+	set.Name, set.FailureDomain = "router-0", domain(0)
+	set.Callers.Listen, set.Operators.Listen = opts.Callers, opts.Operators
+	set.Callers.BalancerLagMS = 0 // there is no balancer
+	set.Operators.Keys = []settings.OperatorKey{{Name: "dev", SHA256: resource.HashKey(OperatorKey)}}
+	set.Log.Address, set.Members.Address = d.logAddress, d.membersAddress
+	if opts.TuneRouter != nil {
+		opts.TuneRouter(&set)
+	}
+	r, err := assembly.NewRouter(set, logger)
+	if err != nil {
+		return err
+	}
+	d.Router = r
+	d.Members.Set(membership.Member{Name: set.Name, Role: "router", Address: r.CallersAddress(), FailureDomain: set.FailureDomain, State: membership.Live}, false)
+	d.duties.Go(func() {
+		if err := r.Serve(ctx, d.stopRouter); err != nil {
+			logger.Error("router ended", "error", err)
+		}
+	})
+	return nil
+}
+
+// waitReady waits until the router has a link to every agent that serves.
+func (d *Deployment) waitReady(ctx context.Context) error {
+	deadline := time.NewTimer(readyWithin)
+	defer deadline.Stop()
+	for !d.ready() {
+		select {
+		case <-time.After(readyPoll):
+		case <-deadline.C:
+			return fault.New(fault.NotReady, "the deployment was not ready within %s", readyWithin)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) ready() bool {
+	up := 0
+	for _, p := range d.Status() {
+		if p.Role == "agent" && p.Up && p.Serving {
+			up++
+		}
+	}
+	return d.Ready() && up == len(d.Agents)
+}
+
+// Wait waits for stop and then stops gracefully: the router first, the agents
+// after it.
+func (d *Deployment) Wait(ctx context.Context, stop <-chan struct{}) error {
+	select {
+	case <-stop:
+	case <-ctx.Done():
+	}
+	close(d.stopRouter)
+	for d.Open() > 0 && ctx.Err() == nil {
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
+		}
+	}
+	d.Close()
+	return nil
+}
+
+// Close ends everything at once.
+func (d *Deployment) Close() {
+	d.cancel()
+	d.duties.Wait()
+}
--- a/internal/execution/core.go
+++ b/internal/execution/core.go
@@ -268,6 +268,9 @@
 		return e
 	}
 	if entry == nil {
+		if c.book.HeldByOther(now, o.Key) {
+			return alreadyRan()
+		}
 		if entry, e = c.book.Begin(now, o.Key, o.Digest, millis(o.KeyWindowMS)); e != nil {
 			return e
 		}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"sync/atomic"
 	"time"
 
+	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
@@ -39,14 +41,19 @@
 	http   *http.Client
 	logger *slog.Logger
 	last   atomic.Pointer[map[string]Member]
+	etag   string
 }
 
 // NewReader returns a Reader of the list at an IP address and port; an empty
-// address gives a Reader whose list stays empty.
-func NewReader(address string, every time.Duration, logger *slog.Logger) *Reader {
+// address gives a Reader whose list stays empty. With a name it asks for that
+// member only, which keeps the traffic of many agents small.
+func NewReader(address, only string, every time.Duration, logger *slog.Logger) *Reader {
 	r := &Reader{every: every, http: &http.Client{Timeout: every + time.Second}, logger: logger}
 	if address != "" {
 		r.url = "http://" + address + "/v1/members"
+		if only != "" {
+			r.url += "?name=" + url.QueryEscape(only)
+		}
 	}
 	r.last.Store(&map[string]Member{})
 	return r
@@ -91,11 +98,21 @@
 	if err != nil {
 		return fmt.Errorf("membership: %w", err)
 	}
+	if r.etag != "" {
+		req.Header.Set("If-None-Match", r.etag)
+	}
 	resp, err := r.http.Do(req)
 	if err != nil {
 		return fmt.Errorf("membership: %w", err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		return nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fault.New(fault.NotReady, "membership: status %d", resp.StatusCode)
+	}
+	r.etag = resp.Header.Get("ETag")
 	var list []Member
 	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
 		return fmt.Errorf("membership: %w", err)
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,184 @@
+// Package operator is the client of the operators' API that the command line
+// uses.
+package operator
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/adminapi"
+	"github.com/merlinpost/merlinpost/internal/adminapi/command"
+	"github.com/merlinpost/merlinpost/internal/adminapi/query"
+	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/resource"
+)
+
+// Client calls one router's operators' API.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// callTimeout bounds a call; it is above the time a change may take to settle.
+const callTimeout = 15 * time.Second
+
+// New returns a client of the API at an IP address and port.
+func New(address, key string) *Client {
+	return &Client{base: "http://" + address + "/v1/", key: key, http: &http.Client{}}
+}
+
+func (c *Client) send(ctx context.Context, method, path string, body any, header http.Header) (*http.Response, error) {
+	var in io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, fault.New(fault.Internal, "encode request: %w", err)
+		}
+		in = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, in)
+	if err != nil {
+		return nil, fault.New(fault.BadRequest, "%w", err)
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fault.New(fault.LinkLost, "%s %s: %w", method, path, err).With(fault.Unknown)
+	}
+	if resp.StatusCode < 300 {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	var e adminapi.ErrorBody
+	if json.NewDecoder(resp.Body).Decode(&e) != nil || e.Code == "" {
+		return nil, fault.New(fault.Internal, "%s %s: status %d", method, path, resp.StatusCode)
+	}
+	message := e.Message
+	if e.Operation != "" {
+		message += fmt.Sprintf(" (operation %s)", e.Operation)
+	}
+	return nil, &fault.Error{Code: e.Code, Outcome: e.Outcome, Field: e.Field, Message: message}
+}
+
+// call makes a call and decodes its answer into out.
+func (c *Client) call(ctx context.Context, method, path string, body, out any, header http.Header) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.send(ctx, method, path, body, header)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return fault.New(fault.Internal, "%s %s: decode answer: %w", method, path, err)
+	}
+	return nil
+}
+
+func resourcePath(kind, name string) string { return url.PathEscape(kind) + "/" + url.PathEscape(name) }
+
+// List returns the resources of a kind.
+func (c *Client) List(ctx context.Context, kind string) (out []query.Resource, err error) {
+	return out, c.call(ctx, http.MethodGet, url.PathEscape(kind), nil, &out, nil)
+}
+
+// Get returns one resource.
+func (c *Client) Get(ctx context.Context, kind, name string) (out query.Resource, err error) {
+	return out, c.call(ctx, http.MethodGet, resourcePath(kind, name), nil, &out, nil)
+}
+
+// History returns the kept contents of a resource, newest last.
+func (c *Client) History(ctx context.Context, kind, name string) (out []resource.Version, err error) {
+	return out, c.call(ctx, http.MethodGet, resourcePath(kind, name)+"/history", nil, &out, nil)
+}
+
+// Delete deletes a resource.
+func (c *Client) Delete(ctx context.Context, kind, name string) (out command.Accepted, err error) {
+	return out, c.call(ctx, http.MethodDelete, resourcePath(kind, name), nil, &out, nil)
+}
+
+// Withdraw puts back the content of a revision, or the one before the last.
+func (c *Client) Withdraw(ctx context.Context, kind, name, to string) (out command.Accepted, err error) {
+	path := resourcePath(kind, name) + "/withdraw"
+	if to != "" {
+		path += "?to=" + url.QueryEscape(to)
+	}
+	return out, c.call(ctx, http.MethodPost, path, nil, &out, nil)
+}
+
+// Change submits a set of changes under an operation id, which may be empty.
+func (c *Client) Change(ctx context.Context, set command.ChangeSet, operation string) (out command.Accepted, err error) {
+	header := http.Header{}
+	if operation != "" {
+		header.Set(command.HeaderOperation, operation)
+	}
+	return out, c.call(ctx, http.MethodPost, "changes", set, &out, header)
+}
+
+// Operation returns the result of an operation.
+func (c *Client) Operation(ctx context.Context, id string) (out resource.Result, err error) {
+	return out, c.call(ctx, http.MethodGet, "operations/"+url.PathEscape(id), nil, &out, nil)
+}
+
+// Status returns what the router knows of the processes.
+func (c *Client) Status(ctx context.Context) (out query.Status, err error) {
+	return out, c.call(ctx, http.MethodGet, "status", nil, &out, nil)
+}
+
+// Watch gives each resource of a kind that changes to f, until ctx ends.
+func (c *Client) Watch(ctx context.Context, kind string, f func(query.Resource)) error {
+	resp, err := c.send(ctx, http.MethodGet, url.PathEscape(kind)+"?watch", nil, nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		var r query.Resource
+		if json.Unmarshal(lines.Bytes(), &r) == nil && r.Name != "" {
+			f(r)
+		}
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	return fault.New(fault.LinkLost, "the watch ended: %v", lines.Err())
+}
+
+// Plan compares the desired resources of a document with what is in force and
+// returns the changes that are needed, with a line about each.
+func (c *Client) Plan(ctx context.Context, desired []resource.Desired) (command.ChangeSet, []string, error) {
+	var set command.ChangeSet
+	var lines []string
+	for _, d := range desired {
+		current, err := c.Get(ctx, string(d.Kind), d.Name)
+		if err != nil && !fault.Is(err, fault.NotFound) {
+			return set, nil, err
+		}
+		base := current.Revision
+		change := command.ChangeSetElement{Verb: resource.Put, Kind: d.Kind, Name: d.Name, Base: &base, Spec: d.Spec}
+		diff := specDiff(current.Spec, d.Spec)
+		if len(diff) == 0 {
+			continue
+		}
+		sign := "~"
+		if current.Revision == 0 {
+			sign = "+"
+		}
+		lines = append(lines, fmt.Sprintf("%s %s/%s", sign, d.Kind, d.Name))
+		lines = append(lines, diff...)
+		set.Changes = append(set.Changes, change)
+	}
+	return set, lines, nil
+}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,111 @@
+// Package quota enforces teams' limits at one router. Each router enforces an
+// equal share of a team's rate and concurrency, so no router talks to another
+// on the request path. It is pure: time comes in as an argument.
+//
+// The bound: while all routers see the same number n of routers, they admit
+// together at most rate*t + burst + n requests in a time t, and at most
+// concurrency + n - 1 at once (each share is at least 1).
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/resource"
+)
+
+// Teams holds the use of all teams. It is safe for concurrent use.
+type Teams struct {
+	mu    sync.Mutex
+	teams map[string]*use
+	swept time.Time
+}
+
+// use is one team's token bucket and requests in progress.
+type use struct {
+	tokens float64
+	last   time.Time
+	open   int
+}
+
+// forgetAfter is how long an idle team is remembered. A bucket is full again
+// long before, so forgetting it changes nothing.
+const forgetAfter = 10 * time.Minute
+
+// NewTeams returns limits with nothing used.
+func NewTeams(now time.Time) *Teams { return &Teams{teams: map[string]*use{}, swept: now} }
+
+// Admit takes one request of the team in, for a router that is one of
+// routers. The caller calls the returned function when the request has ended.
+func (t *Teams) Admit(now time.Time, name string, team *resource.Team, routers int) (func(), *fault.Error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	share := 1 / float64(max(1, routers))
+	u := t.teams[name]
+	burst := math.Max(1, float64(team.Burst)*share)
+	if u == nil {
+		u = &use{tokens: burst, last: now}
+		t.teams[name] = u
+	}
+	if e := u.concurrency(team, share); e != nil {
+		return nil, e
+	}
+	if e := u.rate(now, team, share, burst); e != nil {
+		return nil, e
+	}
+	u.open++
+	return func() { t.done(u) }, nil
+}
+
+func (u *use) concurrency(team *resource.Team, share float64) *fault.Error {
+	if team.Concurrency == 0 {
+		return nil
+	}
+	limit := max(1, int(math.Ceil(float64(team.Concurrency)*share)))
+	if u.open < limit {
+		return nil
+	}
+	return fault.New(fault.TeamConcurrency, "the team has %d requests in progress here", u.open).
+		With(fault.NotRun).After(time.Second)
+}
+
+func (u *use) rate(now time.Time, team *resource.Team, share, burst float64) *fault.Error {
+	if team.Rate == 0 {
+		u.last = now
+		return nil
+	}
+	rate := team.Rate * share
+	if dt := now.Sub(u.last).Seconds(); dt > 0 {
+		u.tokens = math.Min(burst, u.tokens+dt*rate)
+		u.last = now
+	}
+	if u.tokens < 1 {
+		wait := time.Duration((1 - u.tokens) / rate * float64(time.Second))
+		return fault.New(fault.TeamRate, "the team is over its rate of %g a second", team.Rate).
+			With(fault.NotRun).After(wait)
+	}
+	u.tokens--
+	return nil
+}
+
+func (t *Teams) done(u *use) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u.open--
+}
+
+// sweep forgets idle teams now and then.
+func (t *Teams) sweep(now time.Time) {
+	if now.Sub(t.swept) < forgetAfter {
+		return
+	}
+	t.swept = now
+	for name, u := range t.teams {
+		if u.open == 0 && now.Sub(u.last) >= forgetAfter {
+			delete(t.teams, name)
+		}
+	}
+}
--- a/internal/receipt/receipt.go
+++ b/internal/receipt/receipt.go
@@ -60,12 +60,16 @@
 
 // Book is an agent's memory of keys, as their home and as a witness.
 type Book struct {
-	start   time.Time
-	newborn bool // no earlier process of this agent can have run a key
-	logRead bool // the claims on the log were read since the start
-	entries map[string]*Entry
-	claims  map[string]*Entry
-	order   []expiry // in order of insertion; swept from the front
+	start time.Time
+	// witnessSince is when this agent's role as a witness last changed, as a
+	// change of the pool's servers does. It is after start.
+	witnessSince   time.Time
+	witnessNewborn bool
+	newborn        bool // no earlier process of this agent can have run a key
+	logRead        bool // the claims on the log were read since the start
+	entries        map[string]*Entry
+	claims         map[string]*Entry
+	order          []expiry // in order of insertion; swept from the front
 }
 
 type expiry struct {
@@ -75,11 +79,34 @@
 
 // NewBook returns the empty memory of an agent that started at the given time.
 func NewBook(start time.Time) *Book {
-	return &Book{start: start, entries: map[string]*Entry{}, claims: map[string]*Entry{}}
+	return &Book{start: start, witnessSince: start, entries: map[string]*Entry{}, claims: map[string]*Entry{}}
 }
 
-// SetNewborn says that the log shows no earlier process of this agent.
-func (b *Book) SetNewborn() { b.newborn = true }
+// SetNewborn says that the log shows no earlier process of this agent; witness
+// says that the servers of its pools never changed either, so that it was the
+// witness of its keys from the first.
+func (b *Book) SetNewborn(witness bool) {
+	b.newborn = true
+	b.witnessNewborn = witness && b.witnessSince.Equal(b.start)
+}
+
+// ServersChanged says that the servers of a pool changed: claims of keys that
+// this agent now witnesses may be with another one until the window has passed.
+func (b *Book) ServersChanged(now time.Time) {
+	b.witnessSince, b.witnessNewborn = now, false
+}
+
+// Witnesses reports whether this agent's memory as a witness covers the window.
+func (b *Book) Witnesses(now time.Time, window time.Duration) bool {
+	return b.witnessNewborn || now.Sub(b.witnessSince) >= window
+}
+
+// HeldByOther reports whether this agent witnessed that another one claimed
+// the key. Such a key may have run there before its home moved here.
+func (b *Book) HeldByOther(now time.Time, key string) bool {
+	e := b.claims[key]
+	return e != nil && now.Before(e.expires)
+}
 
 // SetLogRead says that the claims on the log were read and given to Remember.
 func (b *Book) SetLogRead() { b.logRead = true }
@@ -150,7 +177,11 @@
 	b.sweep(now)
 	window := time.Duration(c.WindowMS) * time.Millisecond
 	out := &wire.Claimed{Seq: c.Seq, State: wire.ClaimGranted}
-	vouches := b.Remembers(now, window)
+	vouches := b.Witnesses(now, window)
+	if e := b.entries[c.Key]; e != nil && now.Before(e.expires) && e.Phase != Claiming {
+		out.State = wire.ClaimTaken // it ran here while this agent was its home
+		return out
+	}
 	old := b.claims[c.Key]
 	switch {
 	case old != nil && now.Before(old.expires) && old.holder != c.Holder:
@@ -165,7 +196,7 @@
 		b.order = append(b.order, expiry{c.Key, true})
 	}
 	if !vouches {
-		out.State, out.WaitMS = wire.ClaimCannotVouch, b.untilRemembers(now, window).Milliseconds()
+		out.State, out.WaitMS = wire.ClaimCannotVouch, max(0, window-now.Sub(b.witnessSince)).Milliseconds()
 	}
 	return out
 }
@@ -218,8 +249,10 @@
 //   - a claim is kept by the witness, or on the log when the witness could not
 //     be reached, before the call starts;
 //   - so an agent without memory needs both the witness's word and the log.
-func (b *Book) Decide(now time.Time, window time.Duration, word Word) Decision {
-	remembers := b.Remembers(now, window)
+//
+// moved says that another agent was the key's home within the window.
+func (b *Book) Decide(now time.Time, window time.Duration, word Word, moved bool) Decision {
+	remembers := b.Remembers(now, window) && !moved
 	switch word {
 	case WitnessTaken:
 		return AlreadyRan
@@ -248,3 +281,8 @@
 	return fault.New(fault.CannotVouch, "after a restart nobody can tell whether the key was used before").
 		InField("Idempotency-Key").With(fault.NotRun).After(max(time.Second, b.untilRemembers(now, window)))
 }
+
+// String returns the word for metrics.
+func (w Word) String() string {
+	return [...]string{"granted", "taken", "cannot_vouch", "unreachable", "none"}[w]
+}
--- a/internal/receipt/receipt_test.go
+++ b/internal/receipt/receipt_test.go
@@ -47,14 +47,14 @@
 // model is a home and its witness with a log between them, any of which may
 // fail. It counts the runs of one key.
 type model struct {
-	now                     time.Time
-	home, witness           *Book
-	homeLives               int
-	log                     []string // keys claimed on the log
-	logDown, witnessDown    bool
-	everStarted, logCurrent bool
-	runs                    int
-	lastRun                 time.Time
+	now                  time.Time
+	home, witness        *Book
+	homeLives            int
+	log                  []string // keys claimed on the log
+	logDown, witnessDown bool
+	everStarted          bool
+	runs                 int
+	lastRun              time.Time
 }
 
 // restartHome starts the home agent anew, reading the log if it can.
@@ -69,7 +69,7 @@
 		return
 	}
 	if !m.everStarted {
-		m.home.SetNewborn()
+		m.home.SetNewborn(true)
 	}
 	m.everStarted = true
 	for _, k := range m.log {
@@ -94,7 +94,7 @@
 		word = map[wire.ClaimState]Word{wire.ClaimGranted: WitnessGranted, wire.ClaimTaken: WitnessTaken,
 			wire.ClaimCannotVouch: WitnessCannotVouch}[c.State]
 	}
-	switch m.home.Decide(m.now, window, word) {
+	switch m.home.Decide(m.now, window, word, false) {
 	case RunOnceKept:
 		if m.logDown {
 			return
@@ -121,7 +121,7 @@
 		m := &model{now: epoch}
 		m.witness = NewBook(epoch)
 		if rapid.Bool().Draw(t, "witness is new") {
-			m.witness.SetNewborn()
+			m.witness.SetNewborn(true)
 		}
 		m.restartHome()
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -157,7 +157,7 @@
 func TestANewDeploymentVouchesAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	m := &model{now: epoch, witness: NewBook(epoch)}
-	m.witness.SetNewborn()
+	m.witness.SetNewborn(true)
 	m.restartHome()
 	m.call("a")
 	m.witnessDown = true
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -72,7 +72,6 @@
 	err       *fault.Error
 	offerTime time.Time
 	abandoned []abandoned
-	gone      bool
 }
 
 type abandoned struct {
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"sort"
 )
 
@@ -100,9 +101,14 @@
 
 // List returns the resources of a kind that are not deleted, by name.
 func (v *View) List(k Kind) []*Resource {
+	return slices.DeleteFunc(v.All(k), (*Resource).Deleted)
+}
+
+// All returns the resources of a kind, deleted ones too, by name.
+func (v *View) All(k Kind) []*Resource {
 	var out []*Resource
 	for ref, r := range v.resources {
-		if ref.Kind == k && !r.Deleted() {
+		if ref.Kind == k {
 			out = append(out, r)
 		}
 	}
@@ -130,3 +136,16 @@
 	sort.Strings(out)
 	return out
 }
+
+// Has reports whether the pool declares the backend server.
+func (p *Pool) Has(server string) bool { return p.Server(server).Name != "" }
+
+// Server returns the declared backend server; the zero Server if there is none.
+func (p *Pool) Server(name string) Server {
+	for _, s := range p.Servers {
+		if s.Name == name {
+			return s
+		}
+	}
+	return Server{}
+}
--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -14,7 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Answers without max_tokens have shortAnswer to shortAnswer+answerSpread-1
+// Answers have, unless the request bounds them, shortAnswer to shortAnswer+answerSpread-1
 // tokens, as the prompt decides.
 const (
 	shortAnswer  = 16
@@ -31,18 +31,23 @@
 	return fmt.Sprintf("w%04x ", uint16(x>>32))
 }
 
-// Length returns the number of tokens of the answer to a prompt.
-func Length(prompt string, maxTokens int) int {
-	if maxTokens > 0 {
-		return maxTokens
+// Length returns the number of tokens of the answer to a prompt: as the prompt
+// decides, but at least min and, unless max is 0, at most max.
+func Length(prompt string, min, max int) int {
+	n := shortAnswer + int(xxhash.Sum64String(prompt)%answerSpread)
+	if n < min {
+		n = min
 	}
-	return shortAnswer + int(xxhash.Sum64String(prompt)%answerSpread)
+	if max > 0 && n > max {
+		n = max
+	}
+	return n
 }
 
 // Answer returns the whole answer to a prompt.
-func Answer(prompt string, maxTokens int) string {
+func Answer(prompt string, min, max int) string {
 	var b strings.Builder
-	for i := range Length(prompt, maxTokens) {
+	for i := range Length(prompt, min, max) {
 		b.WriteString(Token(prompt, i))
 	}
 	return b.String()
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -23,6 +23,7 @@
 	Model     string    `json:"model"`
 	Prompt    string    `json:"prompt"`
 	Messages  []Message `json:"messages"`
+	MinTokens int       `json:"min_tokens"`
 	MaxTokens int       `json:"max_tokens"`
 	Stream    bool      `json:"stream"`
 
@@ -150,7 +151,7 @@
 func newSequence(req *Request) (*sequence, error) {
 	prompt := req.PromptText()
 	s := &sequence{id: req.RequestID, model: req.Model, seed: xxhash.Sum64String(prompt), priority: req.Priority,
-		total: Length(prompt, req.MaxTokens), blocks: blockHashes(prompt), prompt: len(strings.Fields(prompt)),
+		total: Length(prompt, req.MinTokens, req.MaxTokens), blocks: blockHashes(prompt), prompt: len(strings.Fields(prompt)),
 		done: make(chan struct{})}
 	if req.Resume != nil {
 		var have strings.Builder
@@ -226,7 +227,7 @@
 
 // finish tells why the answer ended, as the published format does.
 func (o *writer) finish() string {
-	if o.req.MaxTokens > 0 {
+	if o.req.MaxTokens > 0 && o.seq.total == o.req.MaxTokens {
 		return "length"
 	}
 	return "stop"
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -44,6 +45,7 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	faults  Faults
+	file    *os.File // nil: in memory only
 }
 
 // New returns an empty log.
@@ -77,16 +79,19 @@
 }
 
 // Append adds a record and returns its offset.
-func (s *Service) Append(name string, data []byte) uint64 {
+func (s *Service) Append(name string, data []byte) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
+	offset := st.first + uint64(len(st.records))
+	if err := s.keep(name, offset, data); err != nil {
+		return 0, err
+	}
 	st.records = append(st.records, data)
-	offset := st.first + uint64(len(st.records)) - 1
 	st.trim(s.faults.Keep)
 	close(st.grown)
 	st.grown = make(chan struct{})
-	return offset
+	return offset, nil
 }
 
 // read returns a batch, whether the offset is gone, and a channel that is
@@ -148,7 +153,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	offset := s.Append(r.PathValue("stream"), data)
+	offset, err := s.Append(r.PathValue("stream"), data)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	s.mu.Lock()
 	lose := s.faults.LoseAnswers
 	s.mu.Unlock()
--- a/internal/standin/members/members.go
+++ b/internal/standin/members/members.go
@@ -3,11 +3,17 @@
 package members
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/merlinpost/merlinpost/internal/membership"
 	"github.com/merlinpost/merlinpost/internal/standin"
 )
@@ -64,9 +70,7 @@
 // /standin/members.
 func (l *List) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/members", func(w http.ResponseWriter, _ *http.Request) {
-		standin.WriteJSON(w, http.StatusOK, l.Members())
-	})
+	mux.HandleFunc("GET /v1/members", l.handleList)
 	change := func(gone bool) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
 			var m membership.Member
@@ -79,3 +83,25 @@
 	mux.HandleFunc("DELETE /standin/members", change(true))
 	return mux
 }
+
+// handleList answers with all members or, with ?name=, with that one. The ETag
+// lets a reader skip a list that it has.
+func (l *List) handleList(w http.ResponseWriter, r *http.Request) {
+	list := l.Members()
+	if name := r.URL.Query().Get("name"); name != "" {
+		list = slices.DeleteFunc(list, func(m membership.Member) bool { return m.Name != name })
+	}
+	data, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -68,13 +68,14 @@
 
 // Load is what an agent knows of its backend server at this moment.
 type Load struct {
-	Running    int
-	Slots      int
-	Queued     []int // by tier
-	StepMicros int   // measured time of a decoding step, microseconds
-	ServiceMS  int   // measured mean time of a request in a slot, milliseconds
-	Draining   bool
-	Serving    []string // "model@version" loaded, sorted
+	Running   int
+	Slots     int
+	Queued    []int // by tier
+	ServiceMS int   // measured mean time of a request in a slot, milliseconds
+	Draining  bool
+	// Serving lists the targets loaded, "model@version" or a service's name,
+	// sorted. Nil means no change since the last time.
+	Serving []string
 }
 
 // Offer hands a request to an agent. The agent answers with a Verdict.
