Script the failures over real processes; add the load and experiment tool

Cause: the promises need proof under failure on the processes as they ship, and the policy needs a measurement before it is changed.

--- a/e2e/scenario_test.go
+++ b/e2e/scenario_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/merlinpost/merlinpost/internal/configlog"
 )
 
 func TestMain(m *testing.M) {
@@ -51,6 +53,7 @@
 			"ready": cmdReady, "faults": cmdFaults, "set": cmdSet, "inforce": cmdInForce, "call": cmdCall, "runs": cmdRuns,
 			"operator": cmdOperator, "untouched": cmdUntouched, "running": cmdRunning, "noted": cmdNoted, "member": cmdMember,
 			"newrouter": cmdNewRouter, "got": cmdGot, "pause": cmdPause,
+			"repeat": cmdRepeat, "snapshot": cmdSnapshot,
 		},
 	})
 }
@@ -367,3 +370,39 @@
 	ts.Check(err)
 	<-time.After(d)
 }
+
+// repeat SERVICE NAME...: calls key-NAME with body "crate NAME" again; whatever
+// the answer, it says nothing wrong: the first answer, or that it may have run
+func cmdRepeat(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "repeat SERVICE NAME...")
+	s := state(ts)
+	for _, name := range args[1:] {
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+		o := s.c.call(ctx, "router-0", args[0], "key-"+name, "crate "+name)
+		cancel()
+		switch {
+		case o.Err != nil:
+			ts.Fatalf("call %s: %v", name, o.Err)
+		case o.Status == 200 && !strings.Contains(o.Text, `"run":1`):
+			ts.Fatalf("call %s: %s", name, o.Text)
+		case o.Status != 200 && o.Code != "cannot_vouch":
+			ts.Fatalf("call %s: status %d, %s", name, o.Status, o.Text)
+		}
+		ts.Logf("key-%s: status %d, outcome %s, retry after %s", name, o.Status, o.Outcome, o.RetryAfter)
+	}
+}
+
+// snapshot: a snapshot of the configuration is on the log
+func cmdSnapshot(ts *testscript.TestScript, _ bool, _ []string) {
+	c := state(ts).c
+	ts.Check(eventually("a snapshot on the log", func() error {
+		var b configlog.Batch
+		if err := c.getJSON("http://"+c.logAddress()+"/v1/streams/config-snapshots/records?from=1", &b); err != nil {
+			return err
+		}
+		if len(b.Entries) == 0 {
+			return fmt.Errorf("none")
+		}
+		return nil
+	}))
+}
--- a/e2e/state_test.go
+++ b/e2e/state_test.go
@@ -120,10 +120,31 @@
 				return fmt.Errorf("%s reaches %d agents that serve of %d", name, serving, c.Engines+c.Services)
 			}
 		}
-		return nil
+		return c.leasesHeld()
 	})
 }
 
+// leasesHeld reports whether every running agent has its lease on the log; it
+// takes no keyed calls before.
+func (c *cluster) leasesHeld() error {
+	if p, _ := c.proc("log"); p.stopped() {
+		return nil
+	}
+	for _, n := range c.everyone() {
+		if p, _ := c.proc(n); !strings.HasPrefix(n, "agent-") || p.stopped() {
+			continue
+		}
+		s, err := c.agentStatus(n)
+		if err != nil {
+			return err
+		}
+		if s.Fence == 0 {
+			return fmt.Errorf("%s has no lease yet", n)
+		}
+	}
+	return nil
+}
+
 func (p *proc) stopped() bool {
 	select {
 	case <-p.exited:
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -2,11 +2,58 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"os"
+
+	"github.com/merlinpost/merlinpost/internal/load"
+	"github.com/merlinpost/merlinpost/internal/settings"
+	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
 type loadCmd struct {
-	Scenario string `arg:"positional,required" help:"scenario file (TOML)"`
+	Scenario string    `arg:"positional,required" help:"scenario file (TOML)"`
+	Factors  []float64 `arg:"--factor,separate" help:"multiply every rate; repeat for a table (default 1)"`
+	Seeds    []uint64  `arg:"--seed,separate" help:"seed in place of the file's; repeat for a spread"`
+	Only     []string  `arg:"--variant,separate" help:"run only this variant; repeat for several (default all)"`
+	JSON     string    `arg:"--json" help:"write the reports to this file, too"`
+}
+
+func (c *loadCmd) run(ctx context.Context, out io.Writer) error {
+	s, err := load.Read(c.Scenario)
+	if err != nil {
+		return err
+	}
+	ctx, stop := stopSignals(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		<-stop
+		cancel()
+	}()
+	logger := telemetry.NewLogger(os.Stderr, settings.Logging{Format: "text", Level: "error"})
+	reports, err := load.Experiment(ctx, s, load.Plan{Factors: c.Factors, Seeds: c.Seeds, Only: c.Only}, logger, func(r *load.Report) {
+		_, _ = fmt.Fprintf(os.Stderr, "done: variant %q factor %.2f seed %d\n", r.Variant, r.Factor, r.Seed) // progress only
+	})
+	if err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		if err := writeReports(c.JSON, reports); err != nil {
+			return err
+		}
+	}
+	return load.Text(out, reports)
 }
 
-func (c *loadCmd) run(_ context.Context, _ io.Writer) error { return nil }
+func writeReports(path string, reports []*load.Report) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := load.JSON(f, reports); err != nil {
+		_ = f.Close() // the write's error is the one to report
+		return err
+	}
+	return f.Close()
+}
--- a/internal/configlog/snapshot.go
+++ b/internal/configlog/snapshot.go
@@ -83,7 +83,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.snapAt, f.snapTime = max(f.snapAt, a.revision), time.Now()
+	if a.revision > f.snapAt {
+		f.snapAt, f.snapTime = a.revision, time.Now()
+	}
 	if fold.Revision() > f.fold.Revision() {
 		f.fold = fold
 		f.publishLocked()
@@ -105,38 +107,51 @@
 // at random, so that one router takes it and the others see it.
 const snapshotJitter = 0.5
 
-// maybeSnapshot appends a snapshot when enough records came or the last one is
-// old. A snapshot that another router took in the meantime suppresses it.
+// maybeSnapshot appends a snapshot when enough records came, the last one is
+// old, or the log has dropped records after it. A snapshot that another router
+// took in the meantime suppresses it.
 func (f *Follower) maybeSnapshot(ctx context.Context, first uint64) {
-	if !f.snapshot {
+	if !f.snapshot || !f.snapshotDue(first) {
 		return
 	}
-	f.mu.Lock()
-	revision, since := f.fold.Revision(), f.fold.Revision()-f.snapAt
-	jitter := 1 + snapshotJitter*f.rand.Float64()
-	due := since > 0 && (float64(since) >= float64(f.set.SnapshotEvery)*jitter ||
-		(!f.snapTime.IsZero() && time.Since(f.snapTime) > time.Duration(float64(settings.Millis(f.set.SnapshotAgeMS))*jitter)))
-	if f.snapTime.IsZero() {
-		f.snapTime = time.Now()
-	}
-	f.mu.Unlock()
-	if !due {
+	if err := f.loadSnapshot(ctx); err != nil { // did another router take one?
 		return
 	}
-	if err := f.loadSnapshot(ctx); err != nil { // did another router take one?
+	if f.snapshotFresh(first) {
 		return
 	}
+	f.takeSnapshot(ctx)
+}
+
+func (f *Follower) snapshotDue(first uint64) bool {
 	f.mu.Lock()
-	fresh := float64(f.fold.Revision()-f.snapAt) < float64(f.set.SnapshotEvery)/2 && f.snapAt+1 >= first && f.snapAt > 0 &&
-		time.Since(f.snapTime) < settings.Millis(f.set.SnapshotAgeMS)
-	f.mu.Unlock()
-	if fresh {
-		return
+	defer f.mu.Unlock()
+	if f.snapTime.IsZero() {
+		f.snapTime = time.Now()
 	}
-	f.takeSnapshot(ctx, revision)
+	since := f.fold.Revision() - min(f.snapAt, f.fold.Revision())
+	jitter := 1 + snapshotJitter*f.rand.Float64()
+	switch {
+	case since == 0:
+		return false
+	case first > f.snapAt+1: // a newcomer could not start any more
+		return true
+	case float64(since) >= float64(f.set.SnapshotEvery)*jitter:
+		return true
+	}
+	return time.Since(f.snapTime) > time.Duration(float64(settings.Millis(f.set.SnapshotAgeMS))*jitter)
+}
+
+// snapshotFresh reports whether the newest known snapshot is good enough.
+func (f *Follower) snapshotFresh(first uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since := f.fold.Revision() - min(f.snapAt, f.fold.Revision())
+	return f.snapAt+1 >= first && since < uint64(f.set.SnapshotEvery+1)/2 &&
+		time.Since(f.snapTime) < settings.Millis(f.set.SnapshotAgeMS)
 }
 
-func (f *Follower) takeSnapshot(ctx context.Context, revision uint64) {
+func (f *Follower) takeSnapshot(ctx context.Context) {
 	at, data, err := f.Encode(0)
 	if err != nil {
 		f.logger.Error("snapshot not encoded", "error", err)
@@ -154,6 +169,6 @@
 	}
 	telemetry.Count("merlinpost_config_snapshots_total")
 	f.mu.Lock()
-	f.snapAt, f.snapTime = max(f.snapAt, at, revision), time.Now()
+	f.snapAt, f.snapTime = max(f.snapAt, at), time.Now()
 	f.mu.Unlock()
 }
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -13,6 +13,7 @@
 
 	"github.com/merlinpost/merlinpost/internal/agent"
 	"github.com/merlinpost/merlinpost/internal/assembly"
+	"github.com/merlinpost/merlinpost/internal/configlog"
 	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/membership"
 	"github.com/merlinpost/merlinpost/internal/resource"
@@ -46,8 +47,13 @@
 	Callers, Operators string
 	// Engines and Services are numbers of backend servers; 0: two of each.
 	Engines, Services int
-	// Step is the engines' step time; 0: 3 ms.
-	Step time.Duration
+	// Step is the engines' step time; 0: 3 ms. Slots is their batch size and
+	// the agents' slots; 0: 16.
+	Step  time.Duration
+	Slots int
+	// Classes and Teams replace the default ones if not nil.
+	Classes map[string]*resource.Class
+	Teams   map[string]*resource.Team
 	// Tune changes an agent's settings before it starts.
 	Tune func(*settings.Agent)
 	// TuneRouter changes the router's settings before it starts.
@@ -93,6 +99,16 @@
 	if opts.Step == 0 {
 		opts.Step = devStep
 	}
+	if opts.Slots == 0 {
+		opts.Slots = devSlots
+	}
+	if opts.Classes == nil {
+		opts.Classes = defaultClasses()
+	}
+	if opts.Teams == nil {
+		opts.Teams = map[string]*resource.Team{"dev": {KeysSHA256: []string{resource.HashKey(TeamKey)}, DefaultClass: "alert",
+			Classes: []string{"helpline", "report"}}}
+	}
 	if err := d.startPlatform(ctx); err != nil {
 		return err
 	}
@@ -106,7 +122,7 @@
 			return err
 		}
 	}
-	if err := d.seed(); err != nil {
+	if err := d.seed(opts); err != nil {
 		return err
 	}
 	if err := d.startRouter(ctx, opts, logger); err != nil {
@@ -128,7 +144,7 @@
 
 func (d *Deployment) addEngine(ctx context.Context, i int, opts Options, logger *slog.Logger) error {
 	e := engine.New(engine.Config{Name: fmt.Sprint("engine-", i), Step: opts.Step, StepPerSeq: opts.Step / 150,
-		PrefillPerBlock: opts.Step / 6, MaxBatch: devSlots, CacheBlocks: 4096, Fencing: i%2 == 0, ReportLag: time.Second,
+		PrefillPerBlock: opts.Step / 6, MaxBatch: opts.Slots, CacheBlocks: 4096, Fencing: i%2 == 0, ReportLag: time.Second,
 		EventLoss: 0.05, Loaded: []string{"advisory@" + resource.BaseVersion}, Seed: uint64(i)})
 	address, err := standin.Serve(ctx, anyPort, e.Handler())
 	if err != nil {
@@ -137,7 +153,7 @@
 	d.duties.Go(func() { e.Run(ctx) })
 	d.Engines = append(d.Engines, e)
 	d.EngineAddresses = append(d.EngineAddresses, address)
-	return d.addAgent(ctx, "engines", settings.Server{Kind: "engine", Address: address, Slots: devSlots, Fencing: i%2 == 0,
+	return d.addAgent(ctx, "engines", settings.Server{Kind: "engine", Address: address, Slots: opts.Slots, Fencing: i%2 == 0,
 		Role: "mixed", StallMS: 10000}, i, opts, logger)
 }
 
@@ -148,7 +164,7 @@
 		return err
 	}
 	d.Services = append(d.Services, s)
-	return d.addAgent(ctx, "workers", settings.Server{Kind: "service", Address: address, Slots: devSlots, Role: "mixed", StallMS: 10000},
+	return d.addAgent(ctx, "workers", settings.Server{Kind: "service", Address: address, Slots: opts.Slots, Role: "mixed", StallMS: 10000},
 		i, opts, logger)
 }
 
@@ -174,39 +190,43 @@
 	return nil
 }
 
-// seed puts the first configuration on the log.
-func (d *Deployment) seed() error {
-	specs := []struct {
-		kind resource.Kind
-		name string
-		spec resource.Spec
-	}{
-		{resource.KindClass, "helpline", &resource.Class{Tier: 0, FirstTokenMS: 400, BetweenTokensMS: 49, MaxWaitMS: 10000, MaxRunMS: 60000, MaxTokens: 2048}},
-		{resource.KindClass, "alert", &resource.Class{Tier: 1, FirstTokenMS: 2000, MaxWaitMS: 30000, MaxRunMS: 120000, Preemptible: true, Floor: 0.05, MaxTokens: 2048}},
-		{resource.KindClass, "report", &resource.Class{Tier: 3, MaxWaitMS: 600000, MaxRunMS: 3600000, Preemptible: true, Floor: 0.1, MaxTokens: 8192}},
-		{resource.KindPool, "engines", &resource.Pool{Servers: d.servers["engines"]}},
-		{resource.KindPool, "workers", &resource.Pool{Servers: d.servers["workers"]}},
-		{resource.KindModel, "advisory", &resource.Model{Pool: "engines"}},
-		{resource.KindService, "receipts", &resource.Service{Pool: "workers", Path: "/receipts", KeyWindowMS: devKeyWindow}},
-		{resource.KindService, "status", &resource.Service{Pool: "workers", Path: "/status", MayRepeat: true}},
-		{resource.KindTeam, "dev", &resource.Team{KeysSHA256: []string{resource.HashKey(TeamKey)}, DefaultClass: "alert", Classes: []string{"helpline", "report"}}},
+func defaultClasses() map[string]*resource.Class {
+	return map[string]*resource.Class{
+		"helpline": {Tier: 0, FirstTokenMS: 400, BetweenTokensMS: 49, MaxWaitMS: 10000, MaxRunMS: 60000, MaxTokens: 2048},
+		"alert":    {Tier: 1, FirstTokenMS: 2000, MaxWaitMS: 30000, MaxRunMS: 120000, Preemptible: true, Floor: 0.05, MaxTokens: 2048},
+		"report":   {Tier: 3, MaxWaitMS: 600000, MaxRunMS: 3600000, Preemptible: true, Floor: 0.1, MaxTokens: 8192},
 	}
+}
+
+// seed puts the first configuration on the log.
+func (d *Deployment) seed(opts Options) error {
 	rec := resource.Record{Operation: "seed", Actor: "dev"}
-	for _, s := range specs {
-		data, err := json.Marshal(s.spec)
+	put := func(kind resource.Kind, name string, spec resource.Spec) {
+		data, err := json.Marshal(spec)
 		if err != nil {
-			return fault.New(fault.Internal, "encode %s/%s: %w", s.kind, s.name, err)
+			data = nil // the check below names it
 		}
-		rec.Changes = append(rec.Changes, resource.Change{Verb: resource.Put, Kind: s.kind, Name: s.name, Spec: data})
+		rec.Changes = append(rec.Changes, resource.Change{Verb: resource.Put, Kind: kind, Name: name, Spec: data})
 	}
-	data, err := json.Marshal(rec)
-	if err != nil {
-		return fault.New(fault.Internal, "encode seed: %w", err)
+	for name, class := range opts.Classes {
+		put(resource.KindClass, name, class)
 	}
+	for name, team := range opts.Teams {
+		put(resource.KindTeam, name, team)
+	}
+	put(resource.KindPool, "engines", &resource.Pool{Servers: d.servers["engines"]})
+	put(resource.KindPool, "workers", &resource.Pool{Servers: d.servers["workers"]})
+	put(resource.KindModel, "advisory", &resource.Model{Pool: "engines"})
+	put(resource.KindService, "receipts", &resource.Service{Pool: "workers", Path: "/receipts", KeyWindowMS: devKeyWindow})
+	put(resource.KindService, "status", &resource.Service{Pool: "workers", Path: "/status", MayRepeat: true})
 	if err := resource.NewFold().Check(rec); err != nil {
 		return err
 	}
-	_, err = d.Log.Append("config", data)
+	data, err := json.Marshal(rec)
+	if err != nil {
+		return fault.New(fault.Internal, "encode seed: %w", err)
+	}
+	_, err = d.Log.Append(configlog.StreamConfig, data)
 	return err
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -35,7 +35,7 @@
 }
 
 const (
-	retryEvery = 500 * time.Millisecond
+	retryEvery = 100 * time.Millisecond
 	pollFor    = 10 * time.Second
 )
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -189,7 +189,11 @@
 	if m.asm.Next() > 0 && !m.cfg.Resumable {
 		return false
 	}
-	return m.fx.Retry()
+	// Refusals come when the pool is busy: offering them again is what could
+	// bury it, so the budget bounds it. Work that was lost in progress was
+	// promised to the caller; there is no more of it than the lost server had
+	// slots and queue, and MaxAttempts bounds it.
+	return e.Outcome != fault.NotRun || m.fx.Retry()
 }
 
 // Chunk takes in a piece of the answer.
