Make idle links and idle agents cheap

Cause: an idle agent spent 1.0 to 1.3% of a core (it woke 100 times a second), and each idle link two heartbeats a second, which at 160 links and with packet headers is above the 4 KB/s a node may spend on control.

Ruled out: a longer heartbeat for all links; a silent link would then be found late while callers wait on it.

Change: a link without requests beats a tenth as often and announces it in the beat; the core ticks every 10 ms only while something waits.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -18,7 +18,8 @@
 // Sizes and timing of the core's duty.
 const (
 	inboxSize     = 4096
-	tickEvery     = 10 * time.Millisecond
+	tickEvery     = 10 * time.Millisecond  // while requests wait
+	idleTickEvery = 500 * time.Millisecond // while none does
 	sweepEvery    = time.Second
 	maxHeld       = 20_000
 	maxTombstones = 100_000
@@ -76,28 +77,41 @@
 
 func (d *coreDuty) run(ctx context.Context) {
 	d.ctx = ctx
-	tick := time.NewTicker(tickEvery)
-	defer tick.Stop()
-	swept := time.Now()
+	timer := time.NewTimer(idleTickEvery)
+	defer timer.Stop()
+	swept, soon := time.Now(), false
 	for {
 		select {
 		case e := <-d.inbox:
 			e(time.Now())
-		case <-tick.C:
+			if !soon && d.core.Busy() {
+				soon = true
+				timer.Reset(tickEvery)
+			}
+		case <-timer.C:
 			now := time.Now()
-			d.core.Tick(now)
-			if now.Sub(swept) >= sweepEvery {
-				swept = now
-				d.core.Sweep(now)
-				d.tell()
+			d.tick(now, &swept)
+			if soon = d.core.Busy(); soon {
+				timer.Reset(tickEvery)
+			} else {
+				timer.Reset(idleTickEvery)
 			}
-			d.load.Store(d.core.Load())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+func (d *coreDuty) tick(now time.Time, swept *time.Time) {
+	d.core.Tick(now)
+	if now.Sub(*swept) >= sweepEvery {
+		*swept = now
+		d.core.Sweep(now)
+		d.tell()
+	}
+	d.load.Store(d.core.Load())
+}
+
 // idle asks the core whether nothing is held.
 func (d *coreDuty) idle(ctx context.Context) bool {
 	answer := make(chan bool, 1)
@@ -152,6 +166,13 @@
 	return c != nil && c.Send(m)
 }
 
+// Use implements execution.Effects.
+func (d *coreDuty) Use(id execution.LinkID, n int) {
+	if c := d.conns[id]; c != nil {
+		c.Use(int64(n))
+	}
+}
+
 // Start implements execution.Effects.
 func (d *coreDuty) Start(r execution.Run) {
 	ctx, cancel := context.WithCancel(d.ctx)
--- a/internal/execution/core.go
+++ b/internal/execution/core.go
@@ -52,6 +52,9 @@
 	Start(r Run)
 	// Stop ends a run at the backend server.
 	Stop(k Key, number int)
+	// Use counts an attempt onto a link or, with -1, off it, so that a link
+	// without attempts can be kept at a lower cost.
+	Use(link LinkID, n int)
 	// Claim asks the witness of a key, or the log if it can't be reached;
 	// the answer comes back through ClaimSettled.
 	Claim(k Key, o *wire.Offer)
@@ -179,7 +182,8 @@
 	delete(c.links, link)
 	for _, a := range c.held {
 		if a.link == link {
-			a.link, a.orphaned = 0, now
+			c.attach(a, 0)
+			a.orphaned = now
 		}
 	}
 }
@@ -198,7 +202,7 @@
 	key := Key{o.ID, o.Attempt}
 	if a := c.held[key]; a != nil { // the offer came twice: the first one counts
 		c.counters.Duplicates++
-		a.link, a.orphaned = link, time.Time{}
+		c.attach(a, link)
 		c.verdict(a.link, key, nil)
 		return
 	}
@@ -243,9 +247,22 @@
 		return e
 	}
 	c.held[key] = a
+	c.fx.Use(link, 1)
 	return nil
 }
 
+// attach moves an attempt to a link; 0 leaves it without one.
+func (c *Core) attach(a *attempt, link LinkID) {
+	if a.link != 0 {
+		c.fx.Use(a.link, -1)
+	}
+	if link != 0 {
+		c.fx.Use(link, 1)
+	}
+	a.link = link
+	a.orphaned = time.Time{}
+}
+
 func (c *Core) enqueue(now time.Time, a *attempt) *fault.Error {
 	o := a.offer
 	job := &admission.Job{ID: o.ID, Tier: min(int(o.Tier), admission.Tiers-1), Flow: o.Team, Cost: float64(o.MaxTokens),
--- a/internal/execution/progress.go
+++ b/internal/execution/progress.go
@@ -139,6 +139,7 @@
 // forget drops an attempt; its tombstone refuses late messages.
 func (c *Core) forget(now time.Time, a *attempt) {
 	c.leaveQueue(now, a)
+	c.attach(a, 0)
 	delete(c.held, a.key)
 	delete(c.blocked, a)
 	c.tombs.add(now, a.key, a.mayHaveRun())
@@ -171,7 +172,8 @@
 		c.verdict(link, key, fault.New(fault.NotHeld, "this agent does not hold the attempt").With(outcome))
 		return
 	}
-	a.link, a.orphaned, a.endSent = link, time.Time{}, false
+	c.attach(a, link)
+	a.endSent = false
 	if err := a.buf.Rewind(m.Next); err != nil {
 		c.verdict(link, key, fault.From(err).With(fault.Unknown))
 		return
@@ -205,7 +207,7 @@
 	c.counters.Cancelled++
 	switch {
 	case a.phase == running && a.entry != nil:
-		a.link = 0 // runs on; the orphan's answer is kept in the book
+		c.attach(a, 0) // runs on; the orphan's answer is kept in the book
 		a.orphaned = now
 		return
 	case a.phase == running:
@@ -236,6 +238,19 @@
 	}
 }
 
+// Busy reports whether something may become due within milliseconds.
+func (c *Core) Busy() bool {
+	if len(c.blocked) > 0 {
+		return true
+	}
+	for _, n := range c.queue.Waiting() {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Tick does what is due: preemption, expiry, deadlines, orphans, and chunks
 // that found no room. Call it every few milliseconds.
 func (c *Core) Tick(now time.Time) {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 	"github.com/merlinpost/merlinpost/internal/wire"
@@ -24,11 +26,17 @@
 	reserved = 512
 )
 
+// idleFactor is how much rarer the heartbeats of a link without requests are:
+// nobody waits for an answer on it, and an offer finds out by itself.
+const idleFactor = 10
+
 // Options is the timing of a link.
 type Options struct {
+	// Heartbeat is the longest time that a link with requests on it sends
+	// nothing, Silent the longest that it may bring nothing.
 	Heartbeat time.Duration
 	Silent    time.Duration
-	// Beat makes the heartbeat.
+	// Beat makes the heartbeat; the link fills in NextMS.
 	Beat func() *wire.Beat
 }
 
@@ -42,6 +50,14 @@
 	ring chan wire.Message
 	once sync.Once
 	done chan struct{}
+	// open counts the requests on the link; peerBusy is what the peer's last
+	// heartbeat implied of its own count.
+	open     atomic.Int64
+	peerBusy atomic.Bool
+	wake     chan struct{} // the first request came: heartbeats speed up
+	// announced is the time to the next message that the peer was told; it
+	// belongs to the writer.
+	announced time.Duration
 }
 
 // countingConn counts the bytes of all links of the process.
@@ -64,12 +80,15 @@
 	return n, err
 }
 
-// Bytes returns the bytes read from and written to all links so far.
-func Bytes() (in, out uint64) { return bytesIn.Load(), bytesOut.Load() }
+var (
+	_ = metrics.NewGauge(`merlinpost_link_bytes{direction="in"}`, func() float64 { return float64(bytesIn.Load()) })
+	_ = metrics.NewGauge(`merlinpost_link_bytes{direction="out"}`, func() float64 { return float64(bytesOut.Load()) })
+)
 
 // Open exchanges Hello with the peer. It closes nc on failure.
 func Open(nc net.Conn, self wire.Hello, opts Options) (*Conn, error) {
-	c := &Conn{nc: &countingConn{nc}, opts: opts, ring: make(chan wire.Message, ringSize), done: make(chan struct{})}
+	c := &Conn{nc: &countingConn{nc}, opts: opts, ring: make(chan wire.Message, ringSize), done: make(chan struct{}),
+		wake: make(chan struct{}, 1)}
 	c.r, c.w = wire.NewReader(c.nc), wire.NewWriter(c.nc)
 	self.Version = wire.Version
 	if err := c.handshake(&self); err != nil {
@@ -110,6 +129,34 @@
 // Peer returns the other end's Hello.
 func (c *Conn) Peer() wire.Hello { return c.peer }
 
+// Use counts n requests onto the link or, if negative, off it.
+func (c *Conn) Use(n int64) {
+	if now := c.open.Add(n); n > 0 && now == n {
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
+		// The peer's next message is due soon now.
+		_ = c.nc.SetReadDeadline(time.Now().Add(c.opts.Silent)) // a closed link ends by itself
+	}
+}
+
+// beatEvery returns the present time between heartbeats.
+func (c *Conn) beatEvery() time.Duration {
+	if c.open.Load() > 0 {
+		return c.opts.Heartbeat
+	}
+	return idleFactor * c.opts.Heartbeat
+}
+
+// silentFor returns how long the link may bring nothing.
+func (c *Conn) silentFor() time.Duration {
+	if c.open.Load() > 0 || c.peerBusy.Load() {
+		return c.opts.Silent
+	}
+	return idleFactor * c.opts.Silent
+}
+
 // Done is closed when the link is closed.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
@@ -155,13 +202,16 @@
 
 func (c *Conn) read(handle func(wire.Message)) error {
 	for {
-		if err := c.nc.SetReadDeadline(time.Now().Add(c.opts.Silent)); err != nil {
+		if err := c.nc.SetReadDeadline(time.Now().Add(c.silentFor())); err != nil {
 			return fault.New(fault.LinkLost, "set deadline: %w", err)
 		}
 		m, err := c.r.Read()
 		if err != nil {
 			return readError(err)
 		}
+		if b, ok := m.(*wire.Beat); ok {
+			c.peerBusy.Store(b.NextMS <= c.opts.Heartbeat.Milliseconds())
+		}
 		handle(m)
 	}
 }
@@ -178,16 +228,21 @@
 	return err
 }
 
-// write sends the ring's messages, many to a flush, and heartbeats.
+// write sends the ring's messages, many to a flush, and a heartbeat when there
+// was nothing to send for the time announced to the peer. A heartbeat is the
+// only place where that time changes, so the peer always knows it.
 func (c *Conn) write() {
-	beat := time.NewTicker(c.opts.Heartbeat)
-	defer beat.Stop()
+	c.announced = c.beatEvery()
+	timer := time.NewTimer(c.announced)
+	defer timer.Stop()
 	defer c.Close()
 	for {
 		var m wire.Message
 		select {
 		case m = <-c.ring:
-		case <-beat.C:
+		case <-timer.C:
+			m = c.opts.Beat()
+		case <-c.wake:
 			m = c.opts.Beat()
 		case <-c.done:
 			return
@@ -195,6 +250,7 @@
 		if c.writeBatch(m) != nil {
 			return
 		}
+		timer.Reset(c.announced)
 	}
 }
 
@@ -204,6 +260,10 @@
 		return err
 	}
 	for {
+		if b, ok := m.(*wire.Beat); ok {
+			c.announced = c.beatEvery()
+			b.NextMS = c.announced.Milliseconds()
+		}
 		if err := c.w.Write(m); err != nil {
 			return err
 		}
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -127,6 +127,8 @@
 	}
 }
 
+func (a *agent) Use(execution.LinkID, int) {}
+
 func (a *agent) Claim(execution.Key, *wire.Offer) {}
 
 func (w *world) byID(id string) *request {
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -261,6 +261,7 @@
 	peer := conn.Peer()
 	same := l.incarnation == peer.Incarnation
 	l.conn, l.incarnation, l.revision = conn, peer.Incarnation, peer.Revision
+	conn.Use(int64(len(l.attempts)))
 	l.sent = 0
 	if !same {
 		l.serving, l.load = nil, wire.Load{}
@@ -381,6 +382,7 @@
 		return "", fault.New(fault.LinkBusy, "the link to %q is overrun", l.server.Name).With(fault.NotRun)
 	}
 	l.sent++
+	l.conn.Use(1)
 	return l.incarnation, nil
 }
 
@@ -394,7 +396,13 @@
 func (l *agentLink) unregister(id attemptID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if _, known := l.attempts[id]; !known {
+		return
+	}
 	delete(l.attempts, id)
+	if l.conn != nil {
+		l.conn.Use(-1)
+	}
 }
 
 // abandon cancels an attempt now or when the agent is reached again.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,7 +32,8 @@
 
 // Link holds the timing of a link between router and agent.
 type Link struct {
-	// HeartbeatMS is the time between heartbeats of an idle link.
+	// HeartbeatMS is the time between heartbeats of a link with requests on
+	// it and nothing else to send; a link without has a tenth as many.
 	HeartbeatMS int `toml:"heartbeat_ms" validate:"min=50,max=60000"`
 	// SilentMS is how long a link may bring nothing before it is replaced.
 	SilentMS int `toml:"silent_ms" validate:"min=100,max=120000,gtfield=HeartbeatMS"`
@@ -178,9 +179,9 @@
 			HeaderTimeoutMS: 5000, BodyTimeoutMS: 10000, StallTimeoutMS: 30000, MaxRequests: 10000},
 		Operators: Operators{Listen: "127.0.0.1:8081"},
 		Log:       defaultLog(),
-		Members:   Members{PollMS: 1000},
+		Members:   Members{PollMS: 2000},
 		Link:      defaultLink(),
-		Policy: Policy{Choice: "scored", Subset: 32, Prefix: true, Domain: true, Straggler: true, Corrected: true,
+		Policy: Policy{Choice: "scored", Subset: 16, Prefix: true, Domain: true, Straggler: true, Corrected: true,
 			RetryShare: 0.1, RetryBurst: 10, MaxAttempts: 4},
 		Logging: Logging{Format: "text", Level: "info"},
 	}
@@ -193,7 +194,7 @@
 		Admission: Admission{Order: "tiers", QueueLimit: 1000, MaxPreemptions: 2, Preemption: true, Floors: true,
 			Fairness: true, EarlyRefusal: true, FloorWindowMS: 10000},
 		Log:     defaultLog(),
-		Members: Members{PollMS: 1000},
+		Members: Members{PollMS: 2000},
 		Link:    defaultLink(),
 		Logging: Logging{Format: "text", Level: "info"},
 	}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -64,6 +64,9 @@
 type Beat struct {
 	Revision uint64
 	Load     *Load
+	// NextMS is the longest time until the sender sends again. The receiver
+	// takes a longer silence for a broken link.
+	NextMS int64
 }
 
 // Load is what an agent knows of its backend server at this moment.
