Keep requests over links that are cut or go silent

Ruled out: more attempts (4 were used up by the same two links). A request that is given up on is answered at once as before, with Retry-After.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -44,6 +44,7 @@
 	KeyWindowMS                int
 	Fencing                    bool
 	Links                      string // settings of links and logging, else those of the tests
+	Cuts                       bool   // links to agents and calls of engines pass through cutters
 }
 
 // cluster is a deployment of separate processes.
@@ -56,6 +57,9 @@
 	hosts uint32
 	addr  map[string]string // by process
 	http  *http.Client
+	// cutters stand before agents ("engine-0") and backend servers
+	// ("server:engine-0").
+	cutters map[string]*cutter
 }
 
 // proc is one process.
@@ -83,7 +87,7 @@
 	if s.Links == "" {
 		s.Links = linkSettings
 	}
-	return &cluster{size: s, dir: dir, net: uint32(os.Getpid()%200)<<8 + nextNet.Add(1), procs: map[string]*proc{}, addr: map[string]string{},
+	return &cluster{size: s, dir: dir, net: uint32(os.Getpid()%200)<<8 + nextNet.Add(1), procs: map[string]*proc{}, addr: map[string]string{}, cutters: map[string]*cutter{},
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 }
 
@@ -139,6 +143,22 @@
 	return c.run("members", "merlinpost", "standin", "members", "--listen", c.membersAddress(), "--lag", "500ms")
 }
 
+// throughCutter returns the address to use for a target: the target's own, or
+// that of a cutter before it.
+func (c *cluster) throughCutter(name, target, port string) (string, error) {
+	if !c.Cuts {
+		return target, nil
+	}
+	if c.cutters[name] == nil {
+		cutter, err := newCutter(c.address("cutter:"+name)+":"+port, target)
+		if err != nil {
+			return "", err
+		}
+		c.cutters[name] = cutter
+	}
+	return c.cutters[name].ln.Addr().String(), nil
+}
+
 func (c *cluster) startEngine(i int) error {
 	name := fmt.Sprint("engine-", i)
 	args := []string{"standin", "engine", "--listen", c.address(name) + ":7100", "--name", name, "--step", c.Step,
@@ -172,13 +192,17 @@
 `
 
 func (c *cluster) startAgent(name, server, kind string, i int) error {
+	serverAddress, err := c.throughCutter("server:"+server, c.address(server)+":7100", "7100")
+	if err != nil {
+		return err
+	}
 	text := fmt.Sprintf(`name = %q
 failure_domain = %q
 listen = "%s:7300"
 metrics = "%s:7301"
 [server]
 kind = %q
-address = "%s:7100"
+address = %q
 slots = %d
 fencing = %t
 stall_ms = 3000
@@ -188,7 +212,7 @@
 [members]
 address = %q
 poll_ms = 300
-%s`, server, c.domain(i), c.address(name), c.address(name), kind, c.address(server), c.Slots, c.Fencing, c.logAddress(), c.membersAddress(), c.Links)
+%s`, server, c.domain(i), c.address(name), c.address(name), kind, serverAddress, c.Slots, c.Fencing, c.logAddress(), c.membersAddress(), c.Links)
 	path := filepath.Join(c.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
@@ -303,6 +327,9 @@
 func (c *cluster) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, cutter := range c.cutters {
+		cutter.close()
+	}
 	for _, p := range c.procs {
 		if p.cmd != nil && p.cmd.Process != nil {
 			_ = p.cmd.Process.Signal(syscall.SIGCONT) // may have ended already
--- a/e2e/scenario_test.go
+++ b/e2e/scenario_test.go
@@ -53,7 +53,8 @@
 			"ready": cmdReady, "faults": cmdFaults, "set": cmdSet, "inforce": cmdInForce, "call": cmdCall, "runs": cmdRuns,
 			"operator": cmdOperator, "untouched": cmdUntouched, "running": cmdRunning, "noted": cmdNoted, "member": cmdMember,
 			"newrouter": cmdNewRouter, "got": cmdGot, "pause": cmdPause,
-			"repeat": cmdRepeat, "reached": cmdReached, "snapshot": cmdSnapshot,
+			"repeat": cmdRepeat, "reached": cmdReached, "cut": cmdCut,
+			"calls": cmdCalls, "callsdone": cmdCallsDone, "once": cmdOnce, "snapshot": cmdSnapshot,
 		},
 	})
 }
@@ -116,7 +117,7 @@
 	s := state(ts)
 	s.c = newCluster(s.dir, size{Routers: number(ts, o, "routers", 1), Engines: number(ts, o, "engines", 2),
 		Services: number(ts, o, "services", 0), Slots: number(ts, o, "slots", 16), Step: o["step"], Domains: number(ts, o, "domains", 2),
-		KeyWindowMS: number(ts, o, "window", 0), Fencing: o["fencing"] == "true"})
+		KeyWindowMS: number(ts, o, "window", 0), Fencing: o["fencing"] == "true", Cuts: o["cuts"] == "true"})
 	ts.Check(s.c.start())
 }
 
@@ -419,3 +420,47 @@
 		}))
 	}
 }
+
+// calls SERVICE n=12: keyed calls in the background, over all routers in turn;
+// the same call uses the same key and body each time
+func cmdCalls(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "calls SERVICE [n=]")
+	s, o := state(ts), options(ts, args[1:])
+	w := &crowd{c: s.c}
+	s.crowds["calls"] = w
+	for i := range number(ts, o, "n", 1) {
+		w.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+			defer cancel()
+			got := s.c.call(ctx, fmt.Sprint("router-", i%s.c.Routers), args[0], fmt.Sprint("cut-", i), fmt.Sprint("crate ", i))
+			w.add(got, nil)
+		})
+	}
+}
+
+// callsdone: every call was answered, whole or with a typed fault
+func cmdCallsDone(ts *testscript.TestScript, _ bool, _ []string) {
+	w := state(ts).crowds["calls"]
+	w.wg.Wait()
+	for _, o := range w.outcomes {
+		if o.Err != nil || (!o.Whole && o.Code == "") {
+			ts.Fatalf("a call got no answer: %+v", o)
+		}
+		if o.Whole && !strings.Contains(o.Text, `"run":1`) {
+			ts.Fatalf("a call ran again: %s", o.Text)
+		}
+	}
+	ts.Logf("%d of %d whole; the others: %s", w.whole(), len(w.outcomes), w.failures())
+}
+
+// once SERVICE n=12: no call of that crowd ran more than once
+func cmdOnce(ts *testscript.TestScript, _ bool, args []string) {
+	s, o := state(ts), options(ts, args[1:])
+	runs, err := s.c.runs()
+	ts.Check(err)
+	for i := range number(ts, o, "n", 1) {
+		if n := runs[fmt.Sprint("crate ", i)]; n > 1 {
+			ts.Fatalf("crate %d ran %d times", i, n)
+		}
+	}
+}
--- a/e2e/state_test.go
+++ b/e2e/state_test.go
@@ -31,7 +31,11 @@
 	}); err != nil {
 		return err
 	}
-	desired, err := resource.ParseDocument("seed", []byte(c.document()))
+	document, err := c.document()
+	if err != nil {
+		return err
+	}
+	desired, err := resource.ParseDocument("seed", []byte(document))
 	if err != nil {
 		return err
 	}
@@ -47,7 +51,7 @@
 }
 
 // document is the deployment's configuration as an operator would write it.
-func (c *cluster) document() string {
+func (c *cluster) document() (string, error) {
 	var b strings.Builder
 	b.WriteString(`
 [[resource]]
@@ -63,29 +67,38 @@
 name = "report"
 spec = { tier = 3, max_wait_ms = 600000, max_run_ms = 600000, max_tokens = 8192, preemptible = true, floor = 0.1 }
 `)
-	c.pool(&b, "engines", "engine", c.Engines)
+	if err := c.pool(&b, "engines", "engine", c.Engines); err != nil {
+		return "", err
+	}
 	if c.Engines > 0 {
 		b.WriteString("[[resource]]\nkind = \"model\"\nname = \"advisory\"\nspec = { pool = \"engines\" }\n")
 	}
-	c.pool(&b, "workers", "service", c.Services)
+	if err := c.pool(&b, "workers", "service", c.Services); err != nil {
+		return "", err
+	}
 	if c.Services > 0 {
 		fmt.Fprintf(&b, "[[resource]]\nkind = \"service\"\nname = \"receipts\"\nspec = { pool = \"workers\", path = \"/receipts\", key_window_ms = %d }\n", c.KeyWindowMS)
 		b.WriteString("[[resource]]\nkind = \"service\"\nname = \"status\"\nspec = { pool = \"workers\", path = \"/status\", may_repeat = true }\n")
 	}
 	fmt.Fprintf(&b, "[[resource]]\nkind = \"team\"\nname = \"board\"\nspec = { keys_sha256 = [%q], default_class = \"alert\", classes = [\"helpline\", \"report\"] }\n",
 		resource.HashKey(teamKey))
-	return b.String()
+	return b.String(), nil
 }
 
-func (c *cluster) pool(b *strings.Builder, name, server string, n int) {
+func (c *cluster) pool(b *strings.Builder, name, server string, n int) error {
 	if n == 0 {
-		return
+		return nil
 	}
 	fmt.Fprintf(b, "[[resource]]\nkind = \"pool\"\nname = %q\n", name)
 	for i := range n {
 		s := fmt.Sprintf("%s-%d", server, i)
-		fmt.Fprintf(b, "[[resource.spec.servers]]\nname = %q\nagent = \"%s:7300\"\nfailure_domain = %q\n", s, c.address("agent-"+s), c.domain(i))
+		address, err := c.throughCutter(s, c.address("agent-"+s)+":7300", "7300")
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(b, "[[resource.spec.servers]]\nname = %q\nagent = %q\nfailure_domain = %q\n", s, address, c.domain(i))
 	}
+	return nil
 }
 
 // status asks a router what it knows.
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -42,6 +42,7 @@
 
 	// The system or what it depends on.
 	NoServer     Code = "no_backend_server"
+	NoLink       Code = "backend_servers_unreachable"
 	Draining     Code = "draining"
 	NotReady     Code = "not_ready"
 	LinkLost     Code = "link_lost"
@@ -141,7 +142,7 @@
 	TeamRate: http.StatusTooManyRequests, TeamConcurrency: http.StatusTooManyRequests,
 	QueueFull: http.StatusTooManyRequests, WaitTooLong: http.StatusTooManyRequests,
 	RetryBudget: http.StatusServiceUnavailable, RecordsFull: http.StatusServiceUnavailable,
-	LinkBusy: http.StatusServiceUnavailable, NoServer: http.StatusServiceUnavailable,
+	LinkBusy: http.StatusServiceUnavailable, NoServer: http.StatusServiceUnavailable, NoLink: http.StatusServiceUnavailable,
 	Draining: http.StatusServiceUnavailable, NotReady: http.StatusServiceUnavailable,
 	LinkLost: http.StatusBadGateway, NotHeld: http.StatusBadGateway,
 	Expired: http.StatusServiceUnavailable, Deadline: http.StatusGatewayTimeout,
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -157,7 +157,8 @@
 func (r *request) Offer(attempt uint32, done uint32, doneText string) *fault.Error {
 	a := pick(r.w, r.w.agents, "agent")
 	if a.down {
-		return fault.New(fault.NoServer, "no agent is reached").With(fault.NotRun)
+		code := pick(r.w, []fault.Code{fault.NoServer, fault.NoLink, fault.LinkBusy}, "code")
+		return fault.New(code, "no agent is reached").With(fault.NotRun)
 	}
 	if r.conn != nil {
 		r.old = append(r.old, r.conn)
@@ -432,6 +433,9 @@
 			a.down = false
 			a.restart()
 		}
+		for _, r := range w.requests {
+			r.m.Place()
+		}
 	case "crash":
 		a.engineCrash()
 	case "drain":
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,9 @@
 // bounds what a router holds for a slow caller.
 const Window = 128
 
+// maxBusyLinks bounds the links that are tried in a row for one offer.
+const maxBusyLinks = 16
+
 // Timer names a timer of a request.
 type Timer uint8
 
@@ -41,7 +44,9 @@
 // Effects is what a Machine does to the world.
 type Effects interface {
 	// Offer chooses an agent and sends it the attempt. done and doneText are
-	// what the caller has had. A fault means that nothing was sent.
+	// what the caller has had. A fault means that nothing was sent: NoLink
+	// that an agent may be reached again soon, LinkBusy that this one can't
+	// take it now.
 	Offer(attempt uint32, done uint32, doneText string) *fault.Error
 	// Send sends to the agent of the present attempt; if its link is down
 	// the message is dropped.
@@ -74,7 +79,8 @@
 type state uint8
 
 const (
-	offered    state = iota // sent, no verdict yet
+	parked     state = iota // no agent is reached; waits for one
+	offered                 // sent, no verdict yet
 	accepted                // the agent holds it
 	cancelling              // a cancel was sent; its confirmation decides
 	finished
@@ -117,10 +123,26 @@
 	m.offer()
 }
 
+// offer makes an offer to an agent, and to the next if the link to it fails at
+// that moment. While no agent is reached the request is parked: a network that
+// loses its connections gets them back within moments.
 func (m *Machine) offer() {
 	m.attempt++
-	if e := m.fx.Offer(m.attempt, m.asm.Next(), string(m.text)); e != nil {
-		if m.refusal == nil || e.Code != fault.NoServer {
+	e := m.fx.Offer(m.attempt, m.asm.Next(), string(m.text))
+	for busyLinks := 0; e != nil && e.Code == fault.LinkBusy && busyLinks < maxBusyLinks; busyLinks++ {
+		// Nothing was sent, so it is the same attempt still.
+		e = m.fx.Offer(m.attempt, m.asm.Next(), string(m.text))
+	}
+	switch {
+	case e == nil:
+	case e.Code == fault.NoLink && m.refusal == nil:
+		m.state = parked
+		m.cause = e
+		m.fx.Arm(TimerAnswer, 0)
+		m.fx.Arm(TimerLost, m.cfg.Lost)
+		return
+	default:
+		if m.refusal == nil {
 			m.refusal = e
 		}
 		m.finish(nil, m.refusal)
@@ -131,8 +153,18 @@
 	m.fx.Arm(TimerAnswer, m.cfg.Answer)
 }
 
+// Place says that an agent may be reached now.
+func (m *Machine) Place() {
+	if m.state == parked {
+		m.attempt-- // the offer that found no agent was none
+		m.offer()
+	}
+}
+
 // mine reports whether a message belongs to the present attempt.
-func (m *Machine) mine(attempt uint32) bool { return m.state != finished && attempt == m.attempt }
+func (m *Machine) mine(attempt uint32) bool {
+	return m.state != finished && m.state != parked && attempt == m.attempt
+}
 
 // Verdict takes in the agent's word on an offer or a resume.
 func (m *Machine) Verdict(v *wire.Verdict) {
@@ -189,13 +221,16 @@
 	if m.asm.Next() > 0 && !m.cfg.Resumable {
 		return false
 	}
-	// Refusals come when the pool is busy: offering them again is what could
-	// bury it, so the budget bounds it. Work that was lost in progress was
-	// promised to the caller; there is no more of it than the lost server had
-	// slots and queue, and MaxAttempts bounds it.
-	return e.Outcome != fault.NotRun || m.fx.Retry()
+	// Refusals for load come when the pool is busy: offering them again is
+	// what could bury it, so the budget bounds it. The rest, offers and work
+	// that were lost on the way, is no more than the lost server and link
+	// held, and MaxAttempts bounds it.
+	return !busy[e.Code] || m.fx.Retry()
 }
 
+// busy lists the refusals for load.
+var busy = map[fault.Code]bool{fault.QueueFull: true, fault.WaitTooLong: true, fault.RecordsFull: true}
+
 // Chunk takes in a piece of the answer.
 func (m *Machine) Chunk(c *wire.Chunk) {
 	if !m.mine(c.Attempt) || m.state == cancelling {
@@ -254,7 +289,7 @@
 
 // LinkDown says that the link to the agent is gone.
 func (m *Machine) LinkDown() {
-	if m.state == finished || !m.linkUp {
+	if m.state == finished || m.state == parked || !m.linkUp {
 		return
 	}
 	m.linkUp = false
@@ -268,7 +303,7 @@
 // LinkUp says that the agent is reached again; same is false if it restarted
 // and so forgot the attempt.
 func (m *Machine) LinkUp(same bool) {
-	if m.state == finished || m.linkUp {
+	if m.state == finished || m.state == parked || m.linkUp {
 		return
 	}
 	m.linkUp = true
@@ -299,6 +334,10 @@
 	}
 	switch t {
 	case TimerLost:
+		if m.state == parked {
+			m.finish(nil, m.cause)
+			return
+		}
 		if !m.linkUp && m.state != cancelling {
 			m.lost("the agent could not be reached")
 		}
@@ -323,6 +362,10 @@
 		return
 	}
 	m.cause = cause
+	if m.state == parked {
+		m.finish(nil, cause)
+		return
+	}
 	m.state = cancelling
 	m.fx.Arm(TimerCancel, m.cfg.Cancel)
 	m.fx.Send(&wire.Cancel{ID: m.id, Attempt: m.attempt})
@@ -351,6 +394,10 @@
 	if m.state == finished {
 		return
 	}
+	if m.state == parked {
+		m.finish(nil, fault.New(fault.Cancelled, "the caller went away"))
+		return
+	}
 	m.fx.Send(&wire.Cancel{ID: m.id, Attempt: m.attempt})
 	if !m.linkUp {
 		m.fx.Abandon(m.attempt)
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -57,6 +57,9 @@
 }
 type linkDown struct{ link *agentLink }
 
+// placeAgain tells a parked call that an agent may be reached now.
+type placeAgain struct{}
+
 // eventRing is how many messages wait for a call's goroutine: the window of an
 // attempt and the few messages around it.
 const eventRing = 2*relay.Window + 64
@@ -79,7 +82,8 @@
 	attempt     attemptID
 	offered     time.Time
 	gotFirst    bool
-	tried       map[string]bool
+	tried       map[string]bool // servers that had the request
+	skip        map[string]bool // servers whose link failed at the offer
 	end         *wire.End
 	err         *fault.Error
 	deadSink    bool
@@ -110,7 +114,7 @@
 	r.mu.Lock()
 	r.budget.Request()
 	r.mu.Unlock()
-	c := &call{router: r, req: req, deliver: deliver, events: make(chan any, eventRing), tried: map[string]bool{}}
+	c := &call{router: r, req: req, deliver: deliver, events: make(chan any, eventRing), tried: map[string]bool{}, skip: map[string]bool{}}
 	lost := r.set.Link.LostMS
 	if req.MayRepeat {
 		lost = r.set.Link.LostRepeatableMS
@@ -158,6 +162,7 @@
 }
 
 func (c *call) leave() {
+	c.router.links.unpark(c)
 	if c.link != nil {
 		c.link.unregister(c.attempt)
 	}
@@ -169,6 +174,9 @@
 func (c *call) handle(e any) {
 	switch e := e.(type) {
 	case *wire.Verdict:
+		if e.Fault != nil && fault.Code(e.Fault.Code) == fault.NotHeld {
+			delete(c.tried, c.link.server.Name) // the offer was lost on the way
+		}
 		c.machine.Verdict(e)
 	case *wire.Chunk:
 		c.machine.Chunk(e)
@@ -180,6 +188,8 @@
 		if e.link == c.link {
 			c.machine.LinkUp(e.incarnation == c.incarnation)
 		}
+	case placeAgain:
+		c.machine.Place()
 	case linkDown:
 		if e.link == c.link {
 			c.machine.LinkDown()
@@ -267,12 +277,10 @@
 	if c.link != nil {
 		c.link.unregister(c.attempt)
 	}
-	l := c.choose()
-	if l == nil {
-		return fault.New(fault.NoServer, "no backend server for %q can be reached", c.req.Target).
-			With(fault.NotRun).After(time.Second)
+	l, e := c.chooseOrPark()
+	if e != nil {
+		return e
 	}
-	c.tried[l.server.Name] = true
 	c.link, c.attempt, c.offered = l, attemptID{c.req.ID, attempt}, time.Now()
 	class := c.req.Class
 	incarnation, e := l.register(c, &wire.Offer{ID: c.req.ID, Attempt: attempt, Kind: c.req.Kind, Endpoint: c.req.Endpoint,
@@ -282,11 +290,31 @@
 		KeyWindowMS: c.req.KeyWindow.Milliseconds(), Body: c.req.Body, MaxTokens: c.req.MaxTokens,
 		Done: done, DoneText: doneText, Window: relay.Window, ContentType: c.req.ContentType})
 	c.incarnation = incarnation
-	return e
+	if e != nil {
+		c.skip[l.server.Name] = true
+		return e
+	}
+	c.tried[l.server.Name] = true
+	return nil
+}
+
+// chooseOrPark chooses a link, or notes that the call waits for one. The second
+// look finds a link that came up just before the note.
+func (c *call) chooseOrPark() (*agentLink, *fault.Error) {
+	l, e := c.choose()
+	if e == nil || e.Code != fault.NoLink {
+		return l, e
+	}
+	c.router.links.park(c)
+	clear(c.skip)
+	if l, e = c.choose(); e == nil {
+		c.router.links.unpark(c)
+	}
+	return l, e
 }
 
-// choose returns the link to offer on; nil if there is none.
-func (c *call) choose() *agentLink {
+// choose returns the link to offer on.
+func (c *call) choose() (*agentLink, *fault.Error) {
 	if c.req.Key != "" {
 		return c.home()
 	}
@@ -301,29 +329,45 @@
 		c.markPrefix(candidates, names)
 	}
 	c.router.mu.Lock()
-	defer c.router.mu.Unlock()
 	i, ok := c.router.picker.Pick(dispatch.Request{FailureDomain: c.router.set.FailureDomain}, candidates, c.router.rnd)
-	if !ok {
-		return nil
+	c.router.mu.Unlock()
+	if ok {
+		return links[i], nil
+	}
+	return nil, c.noneFault(candidates)
+}
+
+// noneFault says why no candidate can take the request: some can't be reached
+// now, or none is left.
+func (c *call) noneFault(candidates []dispatch.Candidate) *fault.Error {
+	for i := range candidates {
+		if !c.tried[candidates[i].Name] && !candidates[i].Leaving {
+			return fault.New(fault.NoLink, "no backend server for %q can be reached", c.req.Target).
+				With(fault.NotRun).After(time.Second)
+		}
 	}
-	return links[i]
+	return fault.New(fault.NoServer, "no backend server for %q is left", c.req.Target).With(fault.NotRun).After(time.Second)
 }
 
 // home returns the link to the home agent of the request's idempotency key.
-func (c *call) home() *agentLink {
+// Only the home may run it, so it is not asked again after a refusal.
+func (c *call) home() (*agentLink, *fault.Error) {
 	pool := c.router.Config.View().Pools[c.req.Pool]
 	if pool == nil {
-		return nil
+		return nil, fault.New(fault.NoServer, "there is no pool %q", c.req.Pool).With(fault.NotRun)
 	}
 	names := make([]string, len(pool.Servers))
 	for i, s := range pool.Servers {
 		names[i] = s.Name
 	}
 	l := c.router.links.server(pool.Server(rendezvous.First(c.req.Key, names)))
+	if _, up := l.state(); !up {
+		return nil, fault.New(fault.NoLink, "the server that keeps this key can't be reached").With(fault.NotRun).After(time.Second)
+	}
 	if c.tried[l.server.Name] {
-		return nil // only the home may run it: it was asked already
+		return nil, fault.New(fault.NoServer, "the server that keeps this key did not take the call").With(fault.NotRun).After(time.Second)
 	}
-	return l
+	return l, nil
 }
 
 // markPrefix marks the servers that keep the prompt's prefix: the first by
@@ -351,5 +395,6 @@
 	}
 	return dispatch.Candidate{Name: l.server.Name, FailureDomain: l.server.FailureDomain, Up: l.conn != nil,
 		Leaving: leaving || l.load.Draining, Serves: l.serving[c.req.Target], Queued: queued, Running: l.load.Running,
-		Slots: l.load.Slots, Sent: l.sent, ServiceMS: float64(l.load.ServiceMS), FirstMS: l.firstMS, Tried: c.tried[l.server.Name]}
+		Slots: l.load.Slots, Sent: l.sent, ServiceMS: float64(l.load.ServiceMS), FirstMS: l.firstMS,
+		Tried: c.tried[l.server.Name] || c.skip[l.server.Name]}
 }
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -65,10 +65,13 @@
 	byName map[string]*agentLink
 	subset map[string][]string // names by pool
 	ctx    context.Context
+
+	parkMu sync.Mutex
+	parked map[*call]bool // wait for an agent to be reached
 }
 
 func newLinkSet(r *Router) *linkSet {
-	return &linkSet{router: r, byName: map[string]*agentLink{}, subset: map[string][]string{}}
+	return &linkSet{router: r, byName: map[string]*agentLink{}, subset: map[string][]string{}, parked: map[*call]bool{}}
 }
 
 // run keeps links to a subset of each pool, spread over failure domains.
@@ -187,6 +190,29 @@
 	return out
 }
 
+// park notes a call that waits for an agent to be reached.
+func (s *linkSet) park(c *call) {
+	s.parkMu.Lock()
+	defer s.parkMu.Unlock()
+	s.parked[c] = true
+}
+
+func (s *linkSet) unpark(c *call) {
+	s.parkMu.Lock()
+	defer s.parkMu.Unlock()
+	delete(s.parked, c)
+}
+
+// reached tells the parked calls that an agent came back or serves more.
+func (s *linkSet) reached() {
+	s.parkMu.Lock()
+	defer s.parkMu.Unlock()
+	for c := range s.parked {
+		c.post(placeAgain{})
+		delete(s.parked, c)
+	}
+}
+
 // server returns the link to one declared server, opening one outside of the
 // subset if need be.
 func (s *linkSet) server(server resource.Server) *agentLink {
@@ -266,6 +292,7 @@
 		return fault.New(fault.NoServer, "agent %q answers in place of %q", conn.Peer().Name, l.server.Name)
 	}
 	l.up(conn)
+	l.router.links.reached()
 	err = conn.Run(ctx, l.receive)
 	telemetry.Count("merlinpost_links_ended_total", "code", string(fault.From(err).Code))
 	l.down()
@@ -356,7 +383,6 @@
 		return
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.load, l.sent = *load, 0
 	if load.Serving != nil {
 		l.serving = map[string]bool{}
@@ -364,6 +390,10 @@
 			l.serving[t] = true
 		}
 	}
+	l.mu.Unlock()
+	if load.Serving != nil {
+		l.router.links.reached()
+	}
 }
 
 func (l *agentLink) answerPull(m *wire.ConfigPull) {
@@ -389,7 +419,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == nil {
-		return "", fault.New(fault.NoServer, "no link to %q", l.server.Name).With(fault.NotRun)
+		return "", fault.New(fault.LinkBusy, "no link to %q", l.server.Name).With(fault.NotRun)
 	}
 	id := attemptID{o.ID, o.Attempt}
 	l.attempts[id] = c
