--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"path/filepath"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -55,3 +57,39 @@
 		}
 	})
 }
+
+// The examples list every key with its default: reading one over nothing gives
+// the defaults, but for what is required.
+func TestExamplesAreTheDefaults(t *testing.T) {
+	g := NewWithT(t)
+	var router Router
+	g.Expect(ReadFile("../../examples/router.example.toml", &router)).To(Succeed())
+	wantRouter := DefaultRouter()
+	wantRouter.Name, wantRouter.FailureDomain, wantRouter.Log.Address = "router-1", "a", "127.0.0.1:7000"
+	g.Expect(router).To(Equal(wantRouter))
+
+	var agent Agent
+	g.Expect(ReadFile("../../examples/agent.example.toml", &agent)).To(Succeed())
+	wantAgent := DefaultAgent()
+	wantAgent.Name, wantAgent.FailureDomain, wantAgent.Log.Address = "server-1", "a", "127.0.0.1:7000"
+	wantAgent.Listen, wantAgent.Metrics, wantAgent.Server.Address = "127.0.0.1:7300", "127.0.0.1:7301", "127.0.0.1:7100"
+	g.Expect(agent).To(Equal(wantAgent))
+}
+
+func TestExampleDeploymentsAreValid(t *testing.T) {
+	g := NewWithT(t)
+	for _, pattern := range []string{"router-*.toml", "agent-*.toml"} {
+		files, err := filepath.Glob("../../examples/*/" + pattern)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(len(files)).To(BeNumerically(">=", 5))
+		for _, f := range files {
+			if strings.HasPrefix(filepath.Base(f), "router") {
+				set := DefaultRouter()
+				g.Expect(ReadFile(f, &set)).To(Succeed())
+			} else {
+				set := DefaultAgent()
+				g.Expect(ReadFile(f, &set)).To(Succeed())
+			}
+		}
+	}
+}
