Keep traffic flowing through rollouts; count running requests by tier

Cause, found by the scenario rollout, failing first: 21 of 100 requests got no_backend_server during a withdrawal, because agents unloaded the version at once while routers still sent to it. In the other direction a share would have gone to a version that no agent had loaded yet.

Change: an unwanted version stays loaded for 15 s and while an attempt uses it; a router sends a share only to a version that a reached agent has loaded. Load reports give running requests by tier, so that a server full of reports counts as free for a helpline call. Preemptions of one request: 8 instead of 2.

--- a/e2e/callers_test.go
+++ b/e2e/callers_test.go
@@ -20,6 +20,7 @@
 // outcome is what one caller got.
 type outcome struct {
 	RequestID  string
+	Served     string // the version that answered
 	Status     int
 	Text       string
 	Whole      bool // the answer ended as it should
@@ -54,7 +55,7 @@
 		return outcome{Err: err}
 	}
 	defer resp.Body.Close()
-	o := outcome{RequestID: resp.Header.Get("Merlinpost-Request-Id"), Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After")}
+	o := outcome{RequestID: resp.Header.Get("Merlinpost-Request-Id"), Served: resp.Header.Get("Merlinpost-Served"), Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After")}
 	if resp.StatusCode != http.StatusOK {
 		data, _ := io.ReadAll(resp.Body) // the status is what counts
 		o.takeError(data)
@@ -152,6 +153,7 @@
 // crowd is a number of callers at work.
 type crowd struct {
 	c        *cluster
+	cancel   context.CancelFunc // makes the callers go away
 	wg       sync.WaitGroup
 	mu       sync.Mutex
 	outcomes []outcome
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -172,6 +172,11 @@
 	return c.startAgent("agent-"+name, name, "engine", i)
 }
 
+// secondAgent starts one more agent for a backend server that has one.
+func (c *cluster) secondAgent(server string, i int) error {
+	return c.startAgent("second-agent-"+server, server, "engine", i)
+}
+
 func (c *cluster) startService(i int) error {
 	name := fmt.Sprint("service-", i)
 	if err := c.run(name, "merlinpost", "standin", "service", "--listen", c.address(name)+":7100", "--name", name); err != nil {
@@ -227,6 +232,9 @@
 [callers]
 listen = %q
 balancer_lag_ms = 500
+header_timeout_ms = 1000
+body_timeout_ms = 1000
+stall_timeout_ms = 1500
 [operators]
 listen = %q
 [[operators.keys]]
--- a/e2e/scenario_test.go
+++ b/e2e/scenario_test.go
@@ -54,6 +54,8 @@
 			"operator": cmdOperator, "untouched": cmdUntouched, "running": cmdRunning, "noted": cmdNoted, "member": cmdMember,
 			"newrouter": cmdNewRouter, "got": cmdGot, "pause": cmdPause,
 			"repeat": cmdRepeat, "reached": cmdReached, "cut": cmdCut,
+			"abandon": cmdAbandon, "idle": cmdIdle, "metric": cmdMetric, "slowclients": cmdSlowClients, "served": cmdServed,
+			"secondagent": cmdSecondAgent, "fences": cmdFences, "loaded": cmdLoaded,
 			"calls": cmdCalls, "callsdone": cmdCallsDone, "once": cmdOnce, "snapshot": cmdSnapshot,
 		},
 	})
@@ -125,7 +127,8 @@
 func cmdAsk(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 1, "ask NAME [class= n= tokens= router=]")
 	s, o := state(ts), options(ts, args[1:])
-	w := &crowd{c: s.c}
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &crowd{c: s.c, cancel: cancel}
 	s.crowds[args[0]] = w
 	class := o["class"]
 	if class == "" {
@@ -138,7 +141,7 @@
 	if o["router"] != "" {
 		routers = []string{o["router"]}
 	}
-	w.ask(context.Background(), args[0], class, number(ts, o, "n", 1), number(ts, o, "tokens", 20), routers)
+	w.ask(ctx, args[0], class, number(ts, o, "n", 1), number(ts, o, "tokens", 20), routers)
 }
 
 // collect NAME [whole=N|all]: the callers have ended; every answer
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -117,6 +117,15 @@
 // Running returns the number of jobs in slots.
 func (q *Queue) Running() int { return len(q.running) }
 
+// RunningByTier returns the number of jobs in slots of each tier.
+func (q *Queue) RunningByTier() []int {
+	out := make([]int, Tiers)
+	for j := range q.running {
+		out[j.Tier]++
+	}
+	return out
+}
+
 // ServiceTime returns the mean time of a job in a slot; 0 when not measured.
 func (q *Queue) ServiceTime() time.Duration { return q.serviceAll.duration() }
 
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -113,12 +113,20 @@
 }
 
 // idle asks the core whether nothing is held.
-func (d *coreDuty) idle(ctx context.Context) bool {
+func (d *coreDuty) idle(ctx context.Context) bool { return d.ask(ctx, d.core.Idle) }
+
+// uses asks the core whether an attempt for the target is held.
+func (d *coreDuty) uses(ctx context.Context, target string) bool {
+	return d.ask(ctx, func() bool { return d.core.Uses(target) })
+}
+
+// ask runs a question on the core's goroutine; false if ctx ends first.
+func (d *coreDuty) ask(ctx context.Context, question func() bool) bool {
 	answer := make(chan bool, 1)
-	d.post(ctx, func(time.Time) { answer <- d.core.Idle() })
+	d.post(ctx, func(time.Time) { answer <- question() })
 	select {
-	case idle := <-answer:
-		return idle
+	case yes := <-answer:
+		return yes
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -18,6 +18,9 @@
 	loadTurn    = 2 * time.Second
 	turnsAtOnce = 2
 	loadTimeout = 10 * time.Minute
+	// unloadAfter is how long a version stays loaded that the configuration
+	// no longer wants: longer than a router may go on sending to it.
+	unloadAfter = 15 * time.Second
 )
 
 // target is a model version that the engine should have loaded.
@@ -50,7 +53,7 @@
 // converge brings the engine to what the configuration wants, one order at a
 // time, and repairs what a stale agent ordered.
 func (a *Agent) converge(ctx context.Context) {
-	since := map[string]time.Time{} // when a missing target was first seen
+	since := map[string]time.Time{} // when a wrong target was first seen
 	for ctx.Err() == nil {
 		changed := a.config.Changed()
 		if a.config.Ready() && !a.stopping.Load() {
@@ -74,22 +77,27 @@
 	for _, t := range want {
 		if slices.Contains(loaded, t.name) {
 			delete(since, t.name)
-			continue
-		}
-		if _, known := since[t.name]; !known {
-			since[t.name] = time.Now()
-		}
-		if time.Since(since[t.name]) >= a.turn(v, t.name) {
+		} else if waited(since, t.name) >= a.turn(v, t.name) {
 			a.order(ctx, order{Op: "load", Target: t.name, Adapter: t.adapter})
 		}
 	}
 	for _, name := range loaded {
-		if len(want) > 0 && !slices.ContainsFunc(want, func(t target) bool { return t.name == name }) {
+		unwanted := len(want) > 0 && !slices.ContainsFunc(want, func(t target) bool { return t.name == name })
+		if unwanted && waited(since, name) >= unloadAfter && !a.core.uses(ctx, name) {
 			a.order(ctx, order{Op: "unload", Target: name})
+			delete(since, name)
 		}
 	}
 }
 
+// waited returns how long ago a target was first found wrong.
+func waited(since map[string]time.Time, name string) time.Duration {
+	if _, known := since[name]; !known {
+		since[name] = time.Now()
+	}
+	return time.Since(since[name])
+}
+
 // turn returns how long this server waits for its turn at the weight store:
 // the servers of the pool go in rendezvous order of the target.
 func (a *Agent) turn(v *resource.View, name string) time.Duration {
--- a/internal/callerapi/api_test.go
+++ b/internal/callerapi/api_test.go
@@ -42,6 +42,8 @@
 	return func() {}, nil
 }
 
+func (b *backend) Serves(string, string) bool { return false }
+
 func (b *backend) Ready() bool { return true }
 
 func view(t *testing.T) *resource.View {
--- a/internal/callerapi/completion.go
+++ b/internal/callerapi/completion.go
@@ -69,6 +69,9 @@
 	}
 	defer release()
 	version := rollout.Choose(x.view.RolloutsOf(in.Model), x.id)
+	if version != resource.BaseVersion && !x.api.backend.Serves(model.Pool, in.Model+"@"+version) {
+		version = resource.BaseVersion // no agent has loaded it yet, or any more
+	}
 	f.id, f.model, f.created, f.usage = x.id, in.Model, x.start.Unix(), in.StreamOptions.IncludeUsage
 	x.w.Header().Set(HeaderServed, in.Model+"@"+version)
 	req := &router.Request{ID: x.id, Kind: wire.Generate, Endpoint: f.endpoint, Team: x.teamName, ClassName: x.className,
--- a/internal/execution/core.go
+++ b/internal/execution/core.go
@@ -152,12 +152,22 @@
 // Idle reports whether nothing is held that a router still waits for.
 func (c *Core) Idle() bool { return len(c.held) == 0 }
 
+// Uses reports whether an attempt for the target is held.
+func (c *Core) Uses(target string) bool {
+	for _, a := range c.held {
+		if a.offer.Target == target {
+			return true
+		}
+	}
+	return false
+}
+
 // Drain refuses offers from now on; what is held goes on to its end.
 func (c *Core) Drain() { c.draining = true }
 
 // Load describes the queue for the routers.
 func (c *Core) Load() *wire.Load {
-	return &wire.Load{Running: c.queue.Running(), Slots: c.cfg.Admission.Slots, Queued: c.queue.Waiting(),
+	return &wire.Load{Running: c.queue.RunningByTier(), Slots: c.cfg.Admission.Slots, Queued: c.queue.Waiting(),
 		ServiceMS: int(c.queue.ServiceTime().Milliseconds()), Draining: c.draining}
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -61,6 +61,9 @@
 			if policy.Order != "" {
 				a.Admission.Order = policy.Order
 			}
+			if policy.MaxPreemptions != nil {
+				a.Admission.MaxPreemptions = *policy.MaxPreemptions
+			}
 			a.Admission.QueueLimit = 100_000
 			a.Admission.Preemption, a.Admission.Floors = !off("preemption"), !off("floors")
 			a.Admission.Fairness, a.Admission.EarlyRefusal = !off("fairness"), !off("early_refusal")
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -44,6 +44,8 @@
 type Policy struct {
 	Choice string `toml:"choice" validate:"omitempty,oneof=scored round_robin least_loaded"`
 	Order  string `toml:"order" validate:"omitempty,oneof=tiers fifo"`
+	// MaxPreemptions replaces the default if not nil.
+	MaxPreemptions *int `toml:"max_preemptions" validate:"omitempty,min=0,max=100"`
 	// Without switches parts off: "preemption", "floors", "fairness",
 	// "early_refusal", "prefix", "domain", "straggler", "corrected".
 	Without []string `toml:"without" validate:"dive,oneof=preemption floors fairness early_refusal prefix domain straggler corrected"`
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -387,14 +387,13 @@
 	leaving := l.router.members.Leaving(l.server.Name)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	queued := 0
-	for t, n := range l.load.Queued {
-		if t <= c.req.Class.Tier { // lower tiers do not stand in its way
-			queued += n
-		}
-	}
+	// Lower tiers do not stand in the way of a higher one: what waits is
+	// passed, what runs gives way.
+	upTo := c.req.Class.Tier + 1
 	return dispatch.Candidate{Name: l.server.Name, FailureDomain: l.server.FailureDomain, Up: l.conn != nil,
-		Leaving: leaving || l.load.Draining, Serves: l.serving[c.req.Target], Queued: queued, Running: l.load.Running,
+		Leaving: leaving || l.load.Draining, Serves: l.serving[c.req.Target], Queued: sum(firstN(l.load.Queued, upTo)), Running: sum(firstN(l.load.Running, upTo)),
 		Slots: l.load.Slots, Sent: l.sent, ServiceMS: float64(l.load.ServiceMS), FirstMS: l.firstMS,
 		Tried: c.tried[l.server.Name] || c.skip[l.server.Name]}
 }
+
+func firstN(counts []int, n int) []int { return counts[:min(n, len(counts))] }
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -242,12 +242,22 @@
 func (l *agentLink) status() ProcessStatus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	queued := 0
-	for _, n := range l.load.Queued {
-		queued += n
-	}
 	return ProcessStatus{Name: l.server.Name, Role: "agent", Up: l.conn != nil, Leaving: l.load.Draining, Serving: len(l.serving) > 0,
-		Revision: l.revision, Running: l.load.Running, Queued: queued}
+		Revision: l.revision, Running: sum(l.load.Running), Queued: sum(l.load.Queued)}
+}
+
+func (l *agentLink) serves(target string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn != nil && !l.load.Draining && l.serving[target]
+}
+
+func sum(counts []int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
 }
 
 func (l *agentLink) idle() bool {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -121,3 +121,14 @@
 func (r *Router) Admit(now time.Time, name string, team *resource.Team) (func(), *fault.Error) {
 	return r.quota.Admit(now, name, team, r.routers())
 }
+
+// Serves reports whether an agent of the pool is reached that has the target
+// loaded.
+func (r *Router) Serves(pool, target string) bool {
+	for _, l := range r.links.pool(pool) {
+		if l.serves(target) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -197,7 +197,7 @@
 func DefaultAgent() Agent {
 	return Agent{
 		Server: Server{Kind: "engine", Slots: 8, Role: "mixed", StallMS: 10000},
-		Admission: Admission{Order: "tiers", QueueLimit: 1000, MaxPreemptions: 2, Preemption: true, Floors: true,
+		Admission: Admission{Order: "tiers", QueueLimit: 1000, MaxPreemptions: 8, Preemption: true, Floors: true,
 			Fairness: true, EarlyRefusal: true, FloorWindowMS: 10000},
 		Log:     defaultLog(),
 		Members: Members{PollMS: 2000},
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -71,7 +71,7 @@
 
 // Load is what an agent knows of its backend server at this moment.
 type Load struct {
-	Running   int
+	Running   []int // by tier
 	Slots     int
 	Queued    []int // by tier
 	ServiceMS int   // measured mean time of a request in a slot, milliseconds
