--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -165,9 +165,11 @@
 	add("merlinpost_agent_cancelled_total", c.Cancelled, d.told.Cancelled)
 	add("merlinpost_agent_orphaned_total", c.Orphaned, d.told.Orphaned)
 	add("merlinpost_agent_tokens_total", c.Tokens, d.told.Tokens)
-	add("merlinpost_agent_wasted_tokens_total", c.WastedTokens, d.told.WastedTokens)
 	add("merlinpost_agent_tombstoned_offers_total", c.Tombstoned, d.told.Tombstoned)
 	d.told = c
+	for class, n := range d.core.TakeWasted() {
+		telemetry.Add("merlinpost_agent_wasted_tokens_total", int(n), "class", class)
+	}
 	telemetry.Gauge("merlinpost_agent_held", float64(d.core.Held()))
 	telemetry.Gauge("merlinpost_agent_tombstones", float64(d.core.Tombstones()))
 	telemetry.Gauge("merlinpost_agent_keys", float64(d.core.Book().Len()))
--- a/internal/execution/core.go
+++ b/internal/execution/core.go
@@ -100,13 +100,12 @@
 	entry    *receipt.Entry
 	end      *wire.End
 	endSent  bool
-	wasted   int
 }
 
 // Counters are the totals a Core keeps for the metrics.
 type Counters struct {
 	Accepted, Refused, Expired, Started, Preempted uint64
-	Cancelled, Orphaned, WastedTokens, Tokens      uint64
+	Cancelled, Orphaned, Tokens                    uint64
 	Duplicates, Tombstoned                         uint64
 }
 
@@ -126,6 +125,8 @@
 	draining bool
 	serving  func(target string) bool
 	counters Counters
+	// wasted counts by class the tokens that were made and then dropped.
+	wasted map[string]uint64
 }
 
 // New returns a Core that started at now; serving says whether the backend
@@ -134,7 +135,8 @@
 	return &Core{cfg: cfg, fx: fx, queue: admission.New(cfg.Admission), book: receipt.NewBook(now),
 		links: map[LinkID]string{}, byPeer: map[string]LinkID{},
 		held: map[Key]*attempt{}, byJob: map[*admission.Job]*attempt{}, waiting: map[string][]*attempt{},
-		tombs: newTombstones(cfg.TombstoneFor, cfg.MaxTombstones), blocked: map[*attempt]struct{}{}, serving: serving}
+		tombs: newTombstones(cfg.TombstoneFor, cfg.MaxTombstones), blocked: map[*attempt]struct{}{}, serving: serving,
+		wasted: map[string]uint64{}}
 }
 
 // Book returns the memory of idempotency keys.
@@ -143,6 +145,13 @@
 // Counters returns the totals so far.
 func (c *Core) Counters() Counters { return c.counters }
 
+// TakeWasted returns the tokens wasted since the last call, by class.
+func (c *Core) TakeWasted() map[string]uint64 {
+	out := c.wasted
+	c.wasted = map[string]uint64{}
+	return out
+}
+
 // Held returns the number of attempts held.
 func (c *Core) Held() int { return len(c.held) }
 
--- a/internal/execution/progress.go
+++ b/internal/execution/progress.go
@@ -22,7 +22,7 @@
 func (c *Core) Token(now time.Time, k Key, number int, data []byte, tokens int) {
 	a := c.current(k, number)
 	if a == nil {
-		c.counters.WastedTokens += uint64(tokens)
+		c.waste(k, tokens)
 		return
 	}
 	c.counters.Tokens += uint64(tokens)
@@ -35,6 +35,15 @@
 	c.pump(a)
 }
 
+// waste counts tokens of a run that was stopped.
+func (c *Core) waste(k Key, tokens int) {
+	class := "gone"
+	if a := c.held[k]; a != nil {
+		class = a.offer.Class
+	}
+	c.wasted[class] += uint64(tokens)
+}
+
 // Ended takes in the end of a run. A fault with outcome not run means that the
 // backend server did not start the work.
 func (c *Core) Ended(now time.Time, k Key, number int, end wire.End, e *fault.Error) {
@@ -77,7 +86,7 @@
 func (c *Core) finish(now time.Time, a *attempt, end *wire.End) {
 	c.leaveQueue(now, a)
 	a.phase = ended
-	end.ID, end.Attempt, end.Total, end.Wasted = a.key.ID, a.key.Attempt, a.made, a.wasted
+	end.ID, end.Attempt, end.Total = a.key.ID, a.key.Attempt, a.made
 	a.end = end
 	c.pump(a)
 	if a.link == 0 {
@@ -130,14 +139,19 @@
 	}
 	a.buf.Ack(m.Next)
 	if m.Final && a.phase == ended {
+		a.buf.Ack(a.buf.Total())
 		c.forget(now, a)
 		return
 	}
 	c.pump(a)
 }
 
-// forget drops an attempt; its tombstone refuses late messages.
+// forget drops an attempt; its tombstone refuses late messages. What of its
+// answer was not acknowledged was made for nothing.
 func (c *Core) forget(now time.Time, a *attempt) {
+	if n := a.buf.Held(); n > 0 && a.offer.Kind == wire.Generate {
+		c.wasted[a.offer.Class] += uint64(n)
+	}
 	c.leaveQueue(now, a)
 	c.attach(a, 0)
 	delete(c.held, a.key)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -134,8 +134,6 @@
 	Finish       string // engine's finish reason
 	PromptTokens int
 	OutputTokens int
-	Preempted    int
-	Wasted       int    // tokens generated twice
 	Status       int    // plain service: HTTP status
 	ContentType  string // plain service
 	Fault        *Fault
