--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -7,17 +7,14 @@
 
 	"github.com/merlinpost/merlinpost/internal/rendezvous"
 	"github.com/merlinpost/merlinpost/internal/resource"
+	"github.com/merlinpost/merlinpost/internal/settings"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
 // Timing of orders.
 const (
 	convergeEvery = time.Second
-	// loadTurn is how long each turn at the weight store lasts, and
-	// turnsAtOnce how many servers of a pool have theirs at the same time.
-	loadTurn    = 2 * time.Second
-	turnsAtOnce = 2
-	loadTimeout = 10 * time.Minute
+	loadTimeout   = 10 * time.Minute
 	// unloadAfter is how long a version stays loaded that the configuration
 	// no longer wants: longer than a router may go on sending to it.
 	unloadAfter = 15 * time.Second
@@ -101,14 +98,14 @@
 // turn returns how long this server waits for its turn at the weight store:
 // the servers of the pool go in rendezvous order of the target.
 func (a *Agent) turn(v *resource.View, name string) time.Duration {
-	if a.set.Weights.Address == "" {
+	if a.set.Weights.TurnMS == 0 {
 		return 0
 	}
 	place := 0
 	for _, pool := range v.PoolsOf(a.set.Name) {
 		place = max(place, slices.Index(rendezvous.Rank(name, serverNames(v.Pools[pool])), a.set.Name))
 	}
-	return time.Duration(place/turnsAtOnce) * loadTurn
+	return time.Duration(place/a.set.Weights.AtOnce) * settings.Millis(a.set.Weights.TurnMS)
 }
 
 // order gives one order if this process still holds the lease. The engine
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -217,6 +217,9 @@
 		e.Outcome = fault.NotRun
 		return resource.Result{}, e
 	}
+	if !f.LogUp() {
+		return resource.Result{}, fault.New(fault.LogDown, "the log is out of reach").With(fault.NotRun).After(retryMost)
+	}
 	data, err := json.Marshal(rec)
 	if err != nil {
 		return resource.Result{}, fault.New(fault.Internal, "encode record: %w", err)
--- a/internal/configlog/follower_test.go
+++ b/internal/configlog/follower_test.go
@@ -94,7 +94,7 @@
 		cancel()
 		step := func(f *Follower) {
 			before := f.View().Revision
-			_ = f.step(ctx) // failures are part of the test
+			f.noteLog(f.step(ctx)) // failures are part of the test
 			g.Expect(f.View().Revision).To(BeNumerically(">=", before))
 		}
 		accepted, refused := map[string]bool{}, map[string]bool{}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -153,8 +153,7 @@
 	d.duties.Go(func() { e.Run(ctx) })
 	d.Engines = append(d.Engines, e)
 	d.EngineAddresses = append(d.EngineAddresses, address)
-	return d.addAgent(ctx, "engines", settings.Server{Kind: "engine", Address: address, Slots: opts.Slots, Fencing: i%2 == 0,
-		Role: "mixed", StallMS: 10000}, i, opts, logger)
+	return d.addAgent(ctx, "engines", settings.Server{Kind: "engine", Address: address, Slots: opts.Slots, Fencing: i%2 == 0, StallMS: 10000}, i, opts, logger)
 }
 
 func (d *Deployment) addService(ctx context.Context, i int, opts Options, logger *slog.Logger) error {
@@ -164,7 +163,7 @@
 		return err
 	}
 	d.Services = append(d.Services, s)
-	return d.addAgent(ctx, "workers", settings.Server{Kind: "service", Address: address, Slots: opts.Slots, Role: "mixed", StallMS: 10000},
+	return d.addAgent(ctx, "workers", settings.Server{Kind: "service", Address: address, Slots: opts.Slots, StallMS: 10000},
 		i, opts, logger)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -139,8 +139,6 @@
 	Slots int `toml:"slots" validate:"min=1,max=4096"`
 	// Fencing says that the engine refuses orders with an old number.
 	Fencing bool `toml:"fencing"`
-	// CapacityRole is an engine's role: "mixed", "prefill" or "decode".
-	Role string `toml:"role" validate:"oneof=mixed prefill decode"`
 	// StallMS is how long an engine may give nothing before the call fails.
 	StallMS int `toml:"stall_ms" validate:"min=100,max=600000"`
 }
@@ -162,10 +160,13 @@
 	FloorWindowMS int `toml:"floor_window_ms" validate:"min=100,max=3600000"`
 }
 
-// Weights says where the platform's weight store is; empty: no orders that
-// need weights are made.
+// Weights bounds how many backend servers of a pool load weights at once from
+// the platform's rate-limited store.
 type Weights struct {
-	Address string `toml:"address" validate:"omitempty,ipport"`
+	// TurnMS is how long each turn at the store lasts; 0: no turns.
+	TurnMS int `toml:"turn_ms" validate:"min=0,max=3600000"`
+	// AtOnce is how many servers of a pool have their turn together.
+	AtOnce int `toml:"at_once" validate:"min=1,max=4096"`
 }
 
 // Timing defaults; docs/OPERATIONS.md says when to change them.
@@ -204,11 +205,12 @@
 // DefaultAgent returns the defaults that a settings file is read over.
 func DefaultAgent() Agent {
 	return Agent{
-		Server: Server{Kind: "engine", Slots: 8, Role: "mixed", StallMS: 10000},
+		Server: Server{Kind: "engine", Slots: 8, StallMS: 10000},
 		Admission: Admission{Order: "tiers", QueueLimit: 1000, MaxPreemptions: 8, Preemption: true, Floors: true,
 			Fairness: true, EarlyRefusal: true, FloorWindowMS: 10000},
 		Log:     defaultLog(),
 		Members: Members{PollMS: 2000},
+		Weights: Weights{AtOnce: 2},
 		Link:    defaultLink(),
 		Logging: Logging{Format: "text", Level: "info"},
 	}
