--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -100,7 +100,7 @@
 func New(cfg Config) *Queue {
 	q := &Queue{cfg: cfg, running: map[*Job]struct{}{}, shares: shares{window: cfg.FloorWindow}}
 	for i := range q.tiers {
-		q.tiers[i].flows = map[string]*flow{}
+		q.tiers[i] = tier{order: newOrder(), due: newDue(), flows: map[string]*flow{}}
 	}
 	return q
 }
@@ -312,7 +312,7 @@
 			if !ok || due.After(now) {
 				break
 			}
-			j := q.tiers[i].due[0]
+			j := q.tiers[i].due.first()
 			q.tiers[i].remove(j)
 			j.state = Gone
 			out = append(out, j)
--- a/internal/admission/tier.go
+++ b/internal/admission/tier.go
@@ -17,8 +17,8 @@
 
 // tier holds the waiting jobs of one tier.
 type tier struct {
-	order orderHeap
-	due   dueHeap
+	order jobHeap
+	due   jobHeap
 	flows map[string]*flow
 	now   float64 // virtual time: start tag of the job last taken
 }
@@ -68,73 +68,69 @@
 	}
 }
 
-func (t *tier) head() *Job {
-	if len(t.order) == 0 {
-		return nil
-	}
-	return t.order[0]
-}
+func (t *tier) head() *Job { return t.order.first() }
 
 // earliest returns the first start bound of the waiting jobs.
 func (t *tier) earliest() (time.Time, bool) {
-	if len(t.due) == 0 {
-		return time.Time{}, false
+	if j := t.due.first(); j != nil {
+		return j.StartBy, true
 	}
-	return t.due[0].StartBy, true
+	return time.Time{}, false
 }
 
-// orderHeap orders jobs by fair tag, then arrival.
-type orderHeap []*Job
-
-func (h orderHeap) Len() int { return len(h) }
-func (h orderHeap) Less(i, j int) bool {
-	return h[i].tag < h[j].tag || (h[i].tag == h[j].tag && h[i].seq < h[j].seq)
-}
-func (h orderHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].orderPos, h[j].orderPos = i, j
+// jobHeap is a heap of jobs that know their place in it, so that any of them can
+// be taken out.
+type jobHeap struct {
+	jobs []*Job
+	less func(a, b *Job) bool
+	// pos returns where a job keeps its place in this heap.
+	pos func(*Job) *int
 }
 
-// Push implements heap.Interface.
-func (h *orderHeap) Push(x any) {
-	j := x.(*Job)
-	j.orderPos = len(*h)
-	*h = append(*h, j)
+// newOrder orders jobs by fair tag, then arrival.
+func newOrder() jobHeap {
+	return jobHeap{less: func(a, b *Job) bool { return a.tag < b.tag || (a.tag == b.tag && a.seq < b.seq) },
+		pos: func(j *Job) *int { return &j.orderPos }}
 }
 
-// Pop implements heap.Interface.
-func (h *orderHeap) Pop() any {
-	old := *h
-	j := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	j.orderPos = -1
-	return j
+// newDue orders jobs by start bound.
+func newDue() jobHeap {
+	return jobHeap{less: func(a, b *Job) bool { return a.StartBy.Before(b.StartBy) }, pos: func(j *Job) *int { return &j.duePos }}
 }
 
-// dueHeap orders jobs by start bound.
-type dueHeap []*Job
+// Len implements heap.Interface.
+func (h *jobHeap) Len() int { return len(h.jobs) }
+
+// Less implements heap.Interface.
+func (h *jobHeap) Less(i, j int) bool { return h.less(h.jobs[i], h.jobs[j]) }
 
-func (h dueHeap) Len() int           { return len(h) }
-func (h dueHeap) Less(i, j int) bool { return h[i].StartBy.Before(h[j].StartBy) }
-func (h dueHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].duePos, h[j].duePos = i, j
+// Swap implements heap.Interface.
+func (h *jobHeap) Swap(i, j int) {
+	h.jobs[i], h.jobs[j] = h.jobs[j], h.jobs[i]
+	*h.pos(h.jobs[i]), *h.pos(h.jobs[j]) = i, j
 }
 
 // Push implements heap.Interface.
-func (h *dueHeap) Push(x any) {
+func (h *jobHeap) Push(x any) {
 	j := x.(*Job)
-	j.duePos = len(*h)
-	*h = append(*h, j)
+	*h.pos(j) = len(h.jobs)
+	h.jobs = append(h.jobs, j)
 }
 
 // Pop implements heap.Interface.
-func (h *dueHeap) Pop() any {
-	old := *h
-	j := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	j.duePos = -1
+func (h *jobHeap) Pop() any {
+	n := len(h.jobs) - 1
+	j := h.jobs[n]
+	h.jobs[n] = nil
+	h.jobs = h.jobs[:n]
+	*h.pos(j) = -1
 	return j
 }
+
+// first returns the job at the top; nil if there is none.
+func (h *jobHeap) first() *Job {
+	if len(h.jobs) == 0 {
+		return nil
+	}
+	return h.jobs[0]
+}
