--- a/e2e/commands_test.go
+++ b/e2e/commands_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"github.com/onsi/gomega"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/merlinpost/merlinpost/internal/load"
 	"github.com/merlinpost/merlinpost/internal/rendezvous"
 	"github.com/merlinpost/merlinpost/internal/standin/engine"
 )
@@ -182,3 +184,30 @@
 	ts.Setenv("HOMEROUTER", ranked[0])
 	ts.Setenv("OTHER", ranked[len(ranked)-1])
 }
+
+// reported FILE CLASS [answered=all|N] [refused=0]: what a load run's report
+// says of a class; nothing was wrong or short, every refusal for load told when
+// to come back
+func cmdReported(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "reported FILE CLASS [answered= refused=]")
+	o := options(ts, args[2:])
+	var reports []load.Report
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[0])), &reports))
+	for _, c := range reports[0].Classes {
+		if c.Class != args[1] {
+			continue
+		}
+		ts.Logf("%s: sent %d, answered %d, failures %v", c.Class, c.Sent, c.Answered, c.Failures)
+		if c.Wrong+c.Short+c.NoRetryAfter > 0 {
+			ts.Fatalf("%d wrong, %d short, %d refused without a time to come back", c.Wrong, c.Short, c.NoRetryAfter)
+		}
+		if want := number(ts, o, "answered", c.Sent); c.Answered < want {
+			ts.Fatalf("%d of %d answered: %v", c.Answered, c.Sent, c.Failures)
+		}
+		if want := number(ts, o, "refused", 0); c.Sent-c.Answered < want {
+			ts.Fatalf("only %d were refused: no overload", c.Sent-c.Answered)
+		}
+		return
+	}
+	ts.Fatalf("no class %q in the report", args[1])
+}
--- a/e2e/scenario_test.go
+++ b/e2e/scenario_test.go
@@ -54,7 +54,7 @@
 			"operator": cmdOperator, "untouched": cmdUntouched, "running": cmdRunning, "noted": cmdNoted, "member": cmdMember,
 			"newrouter": cmdNewRouter, "got": cmdGot, "pause": cmdPause,
 			"repeat": cmdRepeat, "reached": cmdReached, "cut": cmdCut,
-			"peers": cmdPeers, "abandon": cmdAbandon, "idle": cmdIdle, "metric": cmdMetric, "slowclients": cmdSlowClients, "served": cmdServed,
+			"reported": cmdReported, "peers": cmdPeers, "abandon": cmdAbandon, "idle": cmdIdle, "metric": cmdMetric, "slowclients": cmdSlowClients, "served": cmdServed,
 			"secondagent": cmdSecondAgent, "fences": cmdFences, "loaded": cmdLoaded,
 			"calls": cmdCalls, "callsdone": cmdCallsDone, "once": cmdOnce, "snapshot": cmdSnapshot,
 		},
@@ -121,6 +121,7 @@
 		Services: number(ts, o, "services", 0), Slots: number(ts, o, "slots", 16), Step: o["step"], Domains: number(ts, o, "domains", 2),
 		KeyWindowMS: number(ts, o, "window", 0), Fencing: o["fencing"] == "true", Cuts: o["cuts"] == "true"})
 	ts.Check(s.c.start())
+	ts.Setenv("ROUTER", s.c.callers("router-0"))
 }
 
 // ask NAME class=helpline n=200 tokens=30 router=router-0: callers in the background
--- a/internal/resource/references.go
+++ b/internal/resource/references.go
@@ -99,4 +99,3 @@
 	}
 	return nil
 }
-
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -204,4 +204,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
-
