--- a/internal/agent/history.go
+++ b/internal/agent/history.go
@@ -67,4 +67,3 @@
 	return before != nil && time.Since(h.changed[s.Pool]) < settings.Millis(int(o.KeyWindowMS)) &&
 		rendezvous.First(o.Key, before) != a.set.Name
 }
-
--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -181,7 +181,7 @@
 		x.event(data) // and no end mark: the answer is not whole
 		return
 	}
-	if s := e.RetrySeconds(); s > 0 {
+	if s := retrySeconds(e); s > 0 {
 		x.w.Header().Set("Retry-After", strconv.Itoa(s))
 	}
 	x.w.Header().Set("Content-Type", "application/json")
@@ -189,6 +189,17 @@
 	_, _ = x.w.Write(data) // a caller that went away is counted as such
 }
 
+// retrySeconds tells a caller whose request was not run for want of capacity or
+// of a server when to come back; a second where no better time is known.
+func retrySeconds(e *fault.Error) int {
+	s := e.RetrySeconds()
+	status := e.HTTPStatus()
+	if s == 0 && e.Outcome == fault.NotRun && (status == http.StatusTooManyRequests || status >= http.StatusInternalServerError) {
+		return 1
+	}
+	return s
+}
+
 func (x *exchange) count(e *fault.Error) {
 	code, outcome := "", ""
 	if e != nil {
--- a/internal/callerapi/api_test.go
+++ b/internal/callerapi/api_test.go
@@ -136,6 +136,10 @@
 	g.Expect(w.Code).To(Equal(http.StatusTooManyRequests))
 	g.Expect(w.Header().Get("Retry-After")).To(Equal("2"))
 	g.Expect(w.Header().Get(HeaderRequestID)).NotTo(BeEmpty())
+	w = serve(t, &backend{err: fault.New(fault.Draining, "leaving").With(fault.NotRun)}, "/v1/chat/completions", goodChat, nil)
+	g.Expect(w.Header().Get("Retry-After")).To(Equal("1"), "where no better time is known")
+	w = serve(t, &backend{err: fault.New(fault.EngineFailed, "gone").With(fault.Unknown)}, "/v1/chat/completions", goodChat, nil)
+	g.Expect(w.Header().Get("Retry-After")).To(BeEmpty(), "it may have run")
 }
 
 func TestStreamThatFailsHasNoEndMark(t *testing.T) {
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -55,12 +55,7 @@
 	}
 	accepted, err := c.client().Change(ctx, set, c.Operation)
 	if err != nil {
-		if fault.From(err).Outcome == fault.Unknown {
-			e := fault.From(err)
-			e.Message += "; repeat with --operation " + c.Operation
-			return e
-		}
-		return err
+		return c.explain(ctx, out, desired, fault.From(err))
 	}
 	if accepted.DryRun {
 		_, err = fmt.Fprintln(out, "valid; nothing was changed")
@@ -70,6 +65,22 @@
 	return err
 }
 
+// explain adds to a failed change what its operator needs next: how to repeat
+// it, or what differs now from what another operator set.
+func (c *applyCmd) explain(ctx context.Context, out io.Writer, desired []resource.Desired, e *fault.Error) error {
+	switch {
+	case e.Outcome == fault.Unknown:
+		e.Message += "; repeat with --operation " + c.Operation
+	case e.Code == fault.Conflict:
+		if _, lines, err := c.client().Plan(ctx, desired); err == nil {
+			if _, err := fmt.Fprintln(out, "another change was first; against it:\n"+strings.Join(lines, "\n")); err != nil {
+				return err
+			}
+		}
+	}
+	return e
+}
+
 type getCmd struct {
 	OperatorFlags
 	Kind string `arg:"positional,required" help:"class, team, pool, model, service or rollout"`
