--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -158,7 +158,6 @@
 	c := d.core.Counters()
 	add := func(name string, now, before uint64) { telemetry.Add(name, int(now-before)) }
 	add("merlinpost_agent_accepted_total", c.Accepted, d.told.Accepted)
-	add("merlinpost_agent_refused_total", c.Refused, d.told.Refused)
 	add("merlinpost_agent_expired_total", c.Expired, d.told.Expired)
 	add("merlinpost_agent_started_total", c.Started, d.told.Started)
 	add("merlinpost_agent_preempted_total", c.Preempted, d.told.Preempted)
@@ -170,6 +169,9 @@
 	for class, n := range d.core.TakeWasted() {
 		telemetry.Add("merlinpost_agent_wasted_tokens_total", int(n), "class", class)
 	}
+	for code, n := range d.core.TakeRefused() {
+		telemetry.Add("merlinpost_agent_refused_total", int(n), "code", string(code))
+	}
 	telemetry.Gauge("merlinpost_agent_held", float64(d.core.Held()))
 	telemetry.Gauge("merlinpost_agent_tombstones", float64(d.core.Tombstones()))
 	telemetry.Gauge("merlinpost_agent_keys", float64(d.core.Book().Len()))
--- a/internal/execution/core.go
+++ b/internal/execution/core.go
@@ -104,9 +104,9 @@
 
 // Counters are the totals a Core keeps for the metrics.
 type Counters struct {
-	Accepted, Refused, Expired, Started, Preempted uint64
-	Cancelled, Orphaned, Tokens                    uint64
-	Duplicates, Tombstoned                         uint64
+	Accepted, Expired, Started, Preempted uint64
+	Cancelled, Orphaned, Tokens           uint64
+	Duplicates, Tombstoned                uint64
 }
 
 // Core is the state of an agent. Call New.
@@ -127,6 +127,8 @@
 	counters Counters
 	// wasted counts by class the tokens that were made and then dropped.
 	wasted map[string]uint64
+	// refused counts refused offers by code.
+	refused map[fault.Code]uint64
 }
 
 // New returns a Core that started at now; serving says whether the backend
@@ -136,7 +138,7 @@
 		links: map[LinkID]string{}, byPeer: map[string]LinkID{},
 		held: map[Key]*attempt{}, byJob: map[*admission.Job]*attempt{}, waiting: map[string][]*attempt{},
 		tombs: newTombstones(cfg.TombstoneFor, cfg.MaxTombstones), blocked: map[*attempt]struct{}{}, serving: serving,
-		wasted: map[string]uint64{}}
+		wasted: map[string]uint64{}, refused: map[fault.Code]uint64{}}
 }
 
 // Book returns the memory of idempotency keys.
@@ -152,6 +154,13 @@
 	return out
 }
 
+// TakeRefused returns the offers refused since the last call, by code.
+func (c *Core) TakeRefused() map[fault.Code]uint64 {
+	out := c.refused
+	c.refused = map[fault.Code]uint64{}
+	return out
+}
+
 // Held returns the number of attempts held.
 func (c *Core) Held() int { return len(c.held) }
 
@@ -226,7 +235,7 @@
 		return
 	}
 	if e := c.admit(now, link, key, o); e != nil {
-		c.counters.Refused++
+		c.refused[e.Code]++
 		c.tombs.add(now, key, false)
 		c.verdict(link, key, e)
 		return
--- a/internal/execution/core_test.go
+++ b/internal/execution/core_test.go
@@ -145,6 +145,7 @@
 	g.Expect(f.Code).To(Equal(string(fault.RecordsFull)))
 	g.Expect(f.Outcome).To(Equal(string(fault.NotRun)))
 	g.Expect(f.RetryAfterMS).To(BeNumerically(">", 0))
+	g.Expect(c.TakeRefused()).To(Equal(map[fault.Code]uint64{fault.RecordsFull: 1}))
 }
 
 func TestOrphansEndAndAreCountedAsWaste(t *testing.T) {
