Check revisions of ready routers over restarts in the soak

Cause: the check took a process that had just restarted, was not ready and served nobody, for the earlier one; it forgot the earlier revision only if a poll had met the process down. The check now leaves out processes that are not ready and is stricter for the rest: also a restarted router must not be ready with an older revision than its predecessor showed.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -158,8 +158,9 @@
 	}
 }
 
-// changeAlways changes a class now and then, as operators do, and notes that a
-// revision never goes back.
+// changeAlways changes a class now and then, as operators do, and checks that a
+// router that is ready never shows an older revision than before, whether it
+// is the same process or a restarted one.
 func (s *soak) changeAlways(ctx context.Context) {
 	seen := map[string]uint64{}
 	for i := 0; ctx.Err() == nil; i++ {
@@ -170,15 +171,14 @@
 		s.count(fmt.Sprint("change status ", status))
 		for r := range s.c.Routers {
 			name := fmt.Sprint("router-", r)
-			revision, err := s.c.revision(name)
-			if err != nil {
-				seen[name] = 0 // it may have restarted: a new process begins anew
-				continue
+			status, err := s.c.status(name)
+			if err != nil || !status.Ready {
+				continue // a process that starts serves nobody before it is ready
 			}
-			if revision < seen[name] {
-				s.violate("%s went from revision %d back to %d", name, seen[name], revision)
+			if status.Revision < seen[name] {
+				s.violate("%s is ready with revision %d after %d, log reached: %v", name, status.Revision, seen[name], status.LogUp)
 			}
-			seen[name] = revision
+			seen[name] = status.Revision
 		}
 		<-time.After(500 * time.Millisecond)
 	}
