--- a/internal/execution/core.go
+++ b/internal/execution/core.go
@@ -370,10 +370,11 @@
 // repeats that wait for it, with the same fault.
 func (c *Core) finishKeyed(now time.Time, a *attempt, e *fault.Error) {
 	c.finish(now, a, &wire.End{Fault: wire.FaultOf(e)})
-	c.settleWaiting(now, a.offer.Key, func(w *attempt) { c.finish(now, w, &wire.End{Fault: wire.FaultOf(e)}) })
+	c.settleWaiting(a.offer.Key, func(w *attempt) { c.finish(now, w, &wire.End{Fault: wire.FaultOf(e)}) })
 }
 
-func (c *Core) settleWaiting(_ time.Time, key string, f func(*attempt)) {
+// settleWaiting gives each repeat that waits for the key's first call to f.
+func (c *Core) settleWaiting(key string, f func(*attempt)) {
 	list := c.waiting[key]
 	delete(c.waiting, key)
 	for _, w := range list {
--- a/internal/execution/progress.go
+++ b/internal/execution/progress.go
@@ -64,14 +64,14 @@
 	switch {
 	case e == nil:
 		a.entry.Finish(receipt.Result{Status: end.Status, ContentType: end.ContentType, Body: lastChunk(a.buf)})
-		c.settleWaiting(now, a.offer.Key, func(w *attempt) { c.replay(now, w, a.entry) })
+		c.settleWaiting(a.offer.Key, func(w *attempt) { c.replay(now, w, a.entry) })
 		return
 	case e.Outcome == fault.NotRun:
 		c.book.Forget(a.offer.Key)
 	default:
 		a.entry.Phase = receipt.Lost
 	}
-	c.settleWaiting(now, a.offer.Key, func(w *attempt) { c.finish(now, w, &wire.End{Fault: wire.FaultOf(e)}) })
+	c.settleWaiting(a.offer.Key, func(w *attempt) { c.finish(now, w, &wire.End{Fault: wire.FaultOf(e)}) })
 }
 
 // lastChunk returns the body of a plain service's answer, which is one chunk.
