--- a/internal/agent/calls_test.go
+++ b/internal/agent/calls_test.go
@@ -69,7 +69,7 @@
 		Target: "m@v2", Tier: 3, Body: []byte(body)}}
 }
 
-const event = "data: {\"choices\":[{\"text\":%q}]}\n\n"
+const textEvent = "data: {\"choices\":[{\"text\":%q}]}\n\n"
 
 func TestEngineStreams(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -79,17 +79,17 @@
 		outcome fault.Outcome
 	}{
 		"whole": {func(w http.ResponseWriter, _ *http.Request) {
-			_, _ = fmt.Fprintf(w, event+": a comment\n\n"+event+"data: [DONE]\n\n", "a", "b")
+			_, _ = fmt.Fprintf(w, textEvent+": a comment\n\n"+textEvent+"data: [DONE]\n\n", "a", "b")
 		}, "ab", "", ""},
-		"no end mark": {func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintf(w, event, "a") },
+		"no end mark": {func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintf(w, textEvent, "a") },
 			"a", fault.EngineFailed, fault.Unknown},
 		"broken event": {func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "data: {\n\n") },
 			"", fault.EngineFailed, fault.Unknown},
 		"error event": {func(w http.ResponseWriter, _ *http.Request) {
-			_, _ = fmt.Fprintf(w, event+"data: {\"error\":{\"message\":\"out of memory\"}}\n\n", "a")
+			_, _ = fmt.Fprintf(w, textEvent+"data: {\"error\":{\"message\":\"out of memory\"}}\n\n", "a")
 		}, "a", fault.EngineFailed, fault.Unknown},
 		"stall": {func(w http.ResponseWriter, r *http.Request) {
-			_, _ = fmt.Fprintf(w, event, "a")
+			_, _ = fmt.Fprintf(w, textEvent, "a")
 			_ = http.NewResponseController(w).Flush() // the stream is open
 			<-r.Context().Done()
 		}, "a", fault.EngineFailed, fault.Unknown},
