Go on at the same server when it is the only one left

Change: such a server is avoided while there is another, and the request is parked unless it was refused for load.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -135,7 +135,7 @@
 	}
 	switch {
 	case e == nil:
-	case e.Code == fault.NoLink && m.refusal == nil:
+	case e.Code == fault.NoLink && (m.refusal == nil || !Busy(m.refusal.Code)):
 		m.state = parked
 		m.cause = e
 		m.fx.Arm(TimerAnswer, 0)
@@ -225,11 +225,13 @@
 	// what could bury it, so the budget bounds it. The rest, offers and work
 	// that were lost on the way, is no more than the lost server and link
 	// held, and MaxAttempts bounds it.
-	return !busy[e.Code] || m.fx.Retry()
+	return !Busy(e.Code) || m.fx.Retry()
 }
 
-// busy lists the refusals for load.
-var busy = map[fault.Code]bool{fault.QueueFull: true, fault.WaitTooLong: true, fault.RecordsFull: true}
+// Busy reports whether a code is a refusal for load.
+func Busy(c fault.Code) bool {
+	return c == fault.QueueFull || c == fault.WaitTooLong || c == fault.RecordsFull
+}
 
 // Chunk takes in a piece of the answer.
 func (m *Machine) Chunk(c *wire.Chunk) {
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -84,6 +84,7 @@
 	gotFirst    bool
 	tried       map[string]bool // servers that had the request
 	skip        map[string]bool // servers whose link failed at the offer
+	avoid       string          // the server that lost the request last
 	end         *wire.End
 	err         *fault.Error
 	deadSink    bool
@@ -174,13 +175,12 @@
 func (c *call) handle(e any) {
 	switch e := e.(type) {
 	case *wire.Verdict:
-		if e.Fault != nil && fault.Code(e.Fault.Code) == fault.NotHeld {
-			delete(c.tried, c.link.server.Name) // the offer was lost on the way
-		}
+		c.noteFailure(e.Fault)
 		c.machine.Verdict(e)
 	case *wire.Chunk:
 		c.machine.Chunk(e)
 	case *wire.End:
+		c.noteFailure(e.Fault)
 		c.machine.End(e)
 	case *wire.Cancelled:
 		c.machine.Cancelled(e)
@@ -197,6 +197,23 @@
 	}
 }
 
+// noteFailure remembers what to make of a server that failed the request: one
+// that refused it for load is not asked again, one that lost it is avoided as
+// long as there is another.
+func (c *call) noteFailure(f *wire.Fault) {
+	if f == nil || relay.Busy(fault.Code(f.Code)) {
+		return
+	}
+	c.avoidPresent()
+}
+
+func (c *call) avoidPresent() {
+	if c.link != nil {
+		delete(c.tried, c.link.server.Name)
+		c.avoid = c.link.server.Name
+	}
+}
+
 // untilTimer returns the time to the next timer.
 func (c *call) untilTimer() time.Duration {
 	next := time.Hour
@@ -248,6 +265,7 @@
 	if c.link != nil {
 		c.link.abandon(attemptID{c.req.ID, attempt})
 		c.link.replace(c.incarnation)
+		c.avoidPresent()
 	}
 }
 
@@ -328,15 +346,26 @@
 	if c.req.Prefix != "" && len(names) > 0 {
 		c.markPrefix(candidates, names)
 	}
-	c.router.mu.Lock()
-	i, ok := c.router.picker.Pick(dispatch.Request{FailureDomain: c.router.set.FailureDomain}, candidates, c.router.rnd)
-	c.router.mu.Unlock()
-	if ok {
+	if i, ok := c.pick(candidates); ok {
+		return links[i], nil
+	}
+	for i := range candidates { // no other is left than the one to be avoided
+		if candidates[i].Name == c.avoid {
+			candidates[i].Tried = c.tried[c.avoid] || c.skip[c.avoid]
+		}
+	}
+	if i, ok := c.pick(candidates); ok {
 		return links[i], nil
 	}
 	return nil, c.noneFault(candidates)
 }
 
+func (c *call) pick(candidates []dispatch.Candidate) (int, bool) {
+	c.router.mu.Lock()
+	defer c.router.mu.Unlock()
+	return c.router.picker.Pick(dispatch.Request{FailureDomain: c.router.set.FailureDomain}, candidates, c.router.rnd)
+}
+
 // noneFault says why no candidate can take the request: some can't be reached
 // now, or none is left.
 func (c *call) noneFault(candidates []dispatch.Candidate) *fault.Error {
@@ -393,7 +422,7 @@
 	return dispatch.Candidate{Name: l.server.Name, FailureDomain: l.server.FailureDomain, Up: l.conn != nil,
 		Leaving: leaving || l.load.Draining, Serves: l.serving[c.req.Target], Queued: sum(firstN(l.load.Queued, upTo)), Running: sum(firstN(l.load.Running, upTo)),
 		Slots: l.load.Slots, Sent: l.sent, ServiceMS: float64(l.load.ServiceMS), FirstMS: l.firstMS,
-		Tried: c.tried[l.server.Name] || c.skip[l.server.Name]}
+		Tried: c.tried[l.server.Name] || c.skip[l.server.Name] || c.avoid == l.server.Name}
 }
 
 func firstN(counts []int, n int) []int { return counts[:min(n, len(counts))] }
