--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -3,8 +3,8 @@
 //
 // The order is strict by tier; within a tier, teams share by start-time fair
 // queueing. A lower tier's floor and the end of a long request give way in one
-// direction only. The rule, held by CheckInvariant's callers and the property
-// tests:
+// direction only. The rule, held by construction and checked at each refusal and
+// expiry by the property tests:
 //
 //	A request is refused or expires only while no preemptible request of a
 //	lower tier runs here.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -93,7 +93,7 @@
 	Floor         float64 // share of tokens that the class's tier is owed
 	Target        string  // "model@version", or service name
 	FirstTokenMS  int64   // target to the first token, 0: none
-	StartWithinMS int64   // the agent starts the work within this or never
+	StartWithinMS int64   // given up on if it could not start within this
 	RunWithinMS   int64   // the whole answer is due within this
 	MayRepeat     bool    // false: runs at most once
 	Preemptible   bool
