--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -15,6 +15,7 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/resource"
 	"github.com/merlinpost/merlinpost/internal/settings"
 )
 
@@ -87,6 +88,12 @@
 	_ = ctx.JSON(ErrorBody{e.Code, e.Outcome, e.Field, e.Message, operation}) // a client that went away is its own matter
 }
 
+// RefOf returns the resource that a request's path names.
+func RefOf(ctx iris.Context) (resource.Ref, error) {
+	kind, err := resource.ParseKind(ctx.Params().Get("kind"))
+	return resource.Ref{Kind: kind, Name: ctx.Params().Get("name")}, err
+}
+
 // ETag writes a revision as an entity tag.
 func ETag(revision uint64) string { return `"` + strconv.FormatUint(revision, 10) + `"` }
 
--- a/internal/adminapi/command/command.go
+++ b/internal/adminapi/command/command.go
@@ -54,7 +54,7 @@
 }
 
 func (h *Handlers) put(ctx iris.Context) {
-	ref, err := refOf(ctx)
+	ref, err := adminapi.RefOf(ctx)
 	if err != nil {
 		adminapi.Fail(ctx, err)
 		return
@@ -72,7 +72,7 @@
 }
 
 func (h *Handlers) delete(ctx iris.Context) {
-	ref, err := refOf(ctx)
+	ref, err := adminapi.RefOf(ctx)
 	if err != nil {
 		adminapi.Fail(ctx, err)
 		return
@@ -111,7 +111,7 @@
 
 // withdraw puts back an earlier content as a new change.
 func (h *Handlers) withdraw(ctx iris.Context) {
-	ref, err := refOf(ctx)
+	ref, err := adminapi.RefOf(ctx)
 	if err != nil {
 		adminapi.Fail(ctx, err)
 		return
@@ -231,11 +231,6 @@
 	_ = ctx.JSON(Accepted{Operation: res.Operation, Revision: res.Revision}) // a client that went away is its own matter
 }
 
-func refOf(ctx iris.Context) (resource.Ref, error) {
-	kind, err := resource.ParseKind(ctx.Params().Get("kind"))
-	return resource.Ref{Kind: kind, Name: ctx.Params().Get("name")}, err
-}
-
 func readBody(ctx iris.Context) ([]byte, error) {
 	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxBody))
 	if err != nil {
--- a/internal/adminapi/query/query.go
+++ b/internal/adminapi/query/query.go
@@ -94,7 +94,7 @@
 }
 
 func (h *Handlers) get(ctx iris.Context) {
-	ref, err := refOf(ctx)
+	ref, err := adminapi.RefOf(ctx)
 	if err != nil {
 		adminapi.Fail(ctx, err)
 		return
@@ -114,7 +114,7 @@
 }
 
 func (h *Handlers) history(ctx iris.Context) {
-	ref, err := refOf(ctx)
+	ref, err := adminapi.RefOf(ctx)
 	if err != nil {
 		adminapi.Fail(ctx, err)
 		return
@@ -131,11 +131,6 @@
 	return fault.New(fault.NotFound, "there is no %s %q", ref.Kind, ref.Name)
 }
 
-func refOf(ctx iris.Context) (resource.Ref, error) {
-	kind, err := resource.ParseKind(ctx.Params().Get("kind"))
-	return resource.Ref{Kind: kind, Name: ctx.Params().Get("name")}, err
-}
-
 // keepAlive is how often a watch without changes sends an empty line.
 const keepAlive = 15 * time.Second
 
