--- a/internal/agent/calls_test.go
+++ b/internal/agent/calls_test.go
@@ -93,10 +93,10 @@
 			_ = http.NewResponseController(w).Flush() // the stream is open
 			<-r.Context().Done()
 		}, "a", fault.EngineFailed, fault.Unknown},
-		"not loaded": {func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", 404) }, "", fault.NoServer, fault.NotRun},
-		"busy":       {func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", 503) }, "", fault.QueueFull, fault.NotRun},
-		"bad":        {func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", 400) }, "", fault.BadRequest, fault.NotRun},
-		"failed":     {func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", 500) }, "", fault.EngineFailed, fault.Unknown},
+		"not loaded": {func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", http.StatusNotFound) }, "", fault.NoServer, fault.NotRun},
+		"busy":       {func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", http.StatusServiceUnavailable) }, "", fault.QueueFull, fault.NotRun},
+		"bad":        {func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", http.StatusBadRequest) }, "", fault.BadRequest, fault.NotRun},
+		"failed":     {func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", http.StatusInternalServerError) }, "", fault.EngineFailed, fault.Unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
