Send the list of targets with each heartbeat of an agent

The cause is not found. The list of targets was sent only when it had changed, which needs both ends to agree on what was last said; it now comes with each heartbeat (about 20 bytes each 20 s), and the wait's error names the processes. Not proved to be the mend.

--- a/e2e/state_test.go
+++ b/e2e/state_test.go
@@ -132,7 +132,7 @@
 				}
 			}
 			if serving != c.Engines+c.Services {
-				return fmt.Errorf("%s reaches %d agents that serve of %d", name, serving, c.Engines+c.Services)
+				return fmt.Errorf("%s reaches %d agents that serve of %d: %+v", name, serving, c.Engines+c.Services, s.Processes)
 			}
 		}
 		return c.leasesHeld()
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -50,12 +49,10 @@
 	agent *Agent
 	id    execution.LinkID
 	conn  *link.Conn
-	told  []string // targets in the last beat
-	first bool
 }
 
 func (a *Agent) serveLink(ctx context.Context, nc net.Conn) {
-	p := &peerLink{agent: a, id: execution.LinkID(a.core.lastID.Add(1)), first: true}
+	p := &peerLink{agent: a, id: execution.LinkID(a.core.lastID.Add(1))}
 	conn, err := link.Open(nc, a.hello("agent"), a.linkOptions(p.beat))
 	if err != nil {
 		telemetry.Count("merlinpost_links_failed_total", "code", string(fault.From(err).Code))
@@ -87,14 +84,13 @@
 	d.core.LinkDown(now, p.id)
 }
 
-// beat makes a heartbeat, on the goroutine that writes the link; it lists the targets loaded if they changed.
+// beat makes a heartbeat with the list of targets. The list comes with each, so
+// that whatever was lost or overtaken is right again with the next.
 func (p *peerLink) beat() *wire.Beat {
 	b := p.agent.core.beat()
-	if serving := p.agent.serving.list(); p.first || !slices.Equal(serving, p.told) {
-		load := *b.Load
-		load.Serving = serving
-		b.Load, p.told, p.first = &load, serving, false
-	}
+	load := *b.Load
+	load.Serving = p.agent.serving.list()
+	b.Load = &load
 	return b
 }
 
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -77,7 +77,7 @@
 	ServiceMS int   // measured mean time of a request in a slot, milliseconds
 	Draining  bool
 	// Serving lists the targets loaded, "model@version" or a service's name,
-	// sorted. Nil means no change since the last time.
+	// sorted; nil in a Verdict or End, which do not say.
 	Serving []string
 }
 
