--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -15,7 +15,7 @@
 
 const (
 	// MaxFrame bounds a frame's payload in bytes. It is above the largest
-	// caller body and the configuration snapshot of letter 1's target size.
+	// caller body and the configuration snapshot at the target size (docs/CAPACITY.md).
 	MaxFrame = 8 << 20
 	// headerSize is a four-byte big-endian payload length and the type byte.
 	headerSize  = 5
