--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,8 @@
 # Property tests draw from this seed, so that every run gives the same verdict.
 # Other seeds are for "make explore".
 SEED ?= 20261202
-RAPID = $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid' internal | xargs -n1 dirname | sort -u | sed 's,^,./,')
-NORAPID = $(filter-out $(RAPID),$(shell find internal cmd -name '*_test.go' | xargs -n1 dirname | sort -u | sed 's,^,./,'))
+RAPID = $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid' internal platform | xargs -n1 dirname | sort -u | sed 's,^,./,')
+NORAPID = $(filter-out $(RAPID),$(shell find internal platform cmd -name '*_test.go' | xargs -n1 dirname | sort -u | sed 's,^,./,'))
 SOAK ?= 10m
 
 .PHONY: all build test lint unit e2e soak explore fuzz bench board agency clean
@@ -20,7 +20,7 @@
 test: lint unit e2e
 
 lint:
-	@test -z "$$(gofmt -l cmd internal e2e)" || { gofmt -l cmd internal e2e; echo "gofmt: the files above"; exit 1; }
+	@test -z "$$(gofmt -l cmd internal platform e2e)" || { gofmt -l cmd internal platform e2e; echo "gofmt: the files above"; exit 1; }
 	$(GO) vet ./... ./e2e/...
 	$(GO) tool staticcheck ./... ./e2e/...
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -31,6 +31,7 @@
 
 type arguments struct {
 	Router   *routerCmd   `arg:"subcommand:router" help:"run a router"`
+	Gateway  *gatewayCmd  `arg:"subcommand:gateway" help:"run a gateway on the platform, before backend servers without an agent"`
 	Dev      *devCmd      `arg:"subcommand:dev" help:"run the whole path on embedded stand-ins"`
 	Validate *validateCmd `arg:"subcommand:validate" help:"check settings and resource files"`
 	HashKey  *hashKeyCmd  `arg:"subcommand:hash-key" help:"print the hash under which a key is configured"`
@@ -61,7 +62,7 @@
 		set bool
 		run runner
 	}{
-		{a.Router != nil, a.Router}, {a.Dev != nil, a.Dev}, {a.Validate != nil, a.Validate}, {a.HashKey != nil, a.HashKey},
+		{a.Router != nil, a.Router}, {a.Gateway != nil, a.Gateway}, {a.Dev != nil, a.Dev}, {a.Validate != nil, a.Validate}, {a.HashKey != nil, a.HashKey},
 		{a.Apply != nil, a.Apply}, {a.Get != nil, a.Get}, {a.Delete != nil, a.Delete}, {a.Watch != nil, a.Watch},
 		{a.History != nil, a.History}, {a.Withdraw != nil, a.Withdraw}, {a.Op != nil, a.Op}, {a.Status != nil, a.Status},
 		{a.Load != nil, a.Load}, {a.Standin != nil, a.Standin},
--- /dev/null
+++ b/internal/decisionlog/decisionlog.go
@@ -0,0 +1,67 @@
+// Package decisionlog writes structured log lines without ever holding up the
+// code that logs: lines go through a bounded queue and are dropped, and counted,
+// when it is full.
+package decisionlog
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/merlinpost/merlinpost/internal/telemetry"
+)
+
+// queueLines bounds the lines that wait to be written: at some 300 bytes a line
+// they take 150 KB.
+const queueLines = 512
+
+// Writer is an io.Writer that never blocks. Each Write is one line.
+type Writer struct {
+	lines chan []byte
+	done  chan struct{}
+}
+
+// NewWriter starts writing to w. Close ends it.
+func NewWriter(w io.Writer) *Writer {
+	q := &Writer{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	go q.run(w)
+	return q
+}
+
+func (q *Writer) run(w io.Writer) {
+	defer close(q.done)
+	for line := range q.lines {
+		if _, err := w.Write(line); err != nil {
+			telemetry.Count("merlinpost_log_lines_dropped_total", "reason", "write_failed")
+		}
+	}
+}
+
+// Write queues a copy of the line, or drops it when the queue is full.
+func (q *Writer) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		telemetry.Count("merlinpost_log_lines_dropped_total", "reason", "queue_full")
+	}
+	return len(line), nil
+}
+
+// Close writes what is queued. Nothing may be written after it.
+func (q *Writer) Close() {
+	close(q.lines)
+	<-q.done
+}
+
+// NewLogger returns a logger of JSON lines on the writer.
+func NewLogger(q *Writer) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(q, &slog.HandlerOptions{Level: slog.LevelInfo}))
+}
+
+// sampleOneIn is the share of successes that are logged. All processes keep the
+// same requests, because the choice goes by the ID.
+const sampleOneIn = 16
+
+// Sampled reports whether the success of the request with this ID is logged.
+func Sampled(id string) bool { return xxhash.Sum64String(id)%sampleOneIn == 0 }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,143 @@
+// Package gateway serves callers in front of backend servers that run without
+// an agent: it finds the route, chooses a server, passes the request on byte for
+// byte and relays the answer, with retries where a repeat is allowed.
+//
+// One attempt of a caller is one request here. What became of each send to a
+// backend server is typed (see outcome), and only a send that is known not to
+// have run lets the gateway promise so.
+package gateway
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/exchange"
+	"github.com/merlinpost/merlinpost/internal/placement"
+	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/internal/retrybudget"
+	"github.com/merlinpost/merlinpost/internal/routing"
+	"github.com/merlinpost/merlinpost/internal/telemetry"
+)
+
+// Settings are what a gateway is told at its start.
+type Settings struct {
+	Host          string // the name of this host
+	FailureDomain string
+	Callers       string // IP:PORT for callers
+	Readiness     string // IP:PORT for the balancer's readiness checks
+	ReadinessPath string
+	Metrics       string // IP:PORT of the metrics page
+	// DrainGrace is the time from SIGTERM to the end of the process.
+	DrainGrace time.Duration
+	Retries    retrybudget.Settings
+}
+
+// Gateway is the state of one process. Its methods are safe for concurrent use.
+type Gateway struct {
+	settings atomic.Pointer[Settings]
+	dialect  Dialect
+	logger   *slog.Logger
+	now      func() time.Time
+	draw     func() float64
+
+	table     atomic.Pointer[routing.Table]
+	tableTime atomic.Pointer[time.Time]
+	servers   *registry.Registry
+	pool      *exchange.Pool
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
+
+	mu      sync.Mutex
+	budgets map[string]*retrybudget.Budget // by service
+	demands map[string]*placement.Demand   // by service
+}
+
+// New returns a gateway that knows no configuration and no servers yet.
+func New(set Settings, dialect Dialect, servers *registry.Registry, logger *slog.Logger) *Gateway {
+	g := &Gateway{
+		dialect: dialect, logger: logger, now: time.Now, draw: rand.Float64, servers: servers,
+		pool: exchange.NewPool(time.Now, func() {
+			telemetry.Count("merlinpost_backend_connections_opened_total")
+		}),
+		budgets: map[string]*retrybudget.Budget{}, demands: map[string]*placement.Demand{},
+	}
+	g.settings.Store(&set)
+	return g
+}
+
+// SetSettings puts new settings in force. The addresses are those of the start:
+// a process that listens elsewhere is another process.
+func (g *Gateway) SetSettings(set Settings) {
+	old := g.settings.Swap(&set)
+	if old.Callers != set.Callers || old.Readiness != set.Readiness || old.Metrics != set.Metrics {
+		g.logger.Warn("new addresses are used from the next start on", "callers", set.Callers)
+	}
+	if old.Retries != set.Retries {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		clear(g.budgets) // they start anew under the new bounds
+	}
+}
+
+// SetTable puts a configuration in force. A version that is not above the one
+// in force is left out: a process never goes back.
+func (g *Gateway) SetTable(t *routing.Table) bool {
+	for {
+		old := g.table.Load()
+		if old != nil && t.Version <= old.Version {
+			return false
+		}
+		if g.table.CompareAndSwap(old, t) {
+			break
+		}
+	}
+	g.ConfirmTable()
+	telemetry.Gauge("merlinpost_config_version", float64(t.Version))
+	return true
+}
+
+// ConfirmTable records that the configuration in force was found to be the
+// newest.
+func (g *Gateway) ConfirmTable() {
+	now := g.now()
+	g.tableTime.Store(&now)
+}
+
+// tableAge returns how long ago the configuration was last confirmed.
+func (g *Gateway) tableAge() time.Duration {
+	at := g.tableTime.Load()
+	if at == nil {
+		return 0
+	}
+	return g.now().Sub(*at)
+}
+
+// Ready reports whether callers should be sent here.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.table.Load() != nil && g.servers.Loaded()
+}
+
+func (g *Gateway) budget(service string) *retrybudget.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		b = retrybudget.New(g.settings.Load().Retries, g.now())
+		g.budgets[service] = b
+	}
+	return b
+}
+
+func (g *Gateway) demand(service string) *placement.Demand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := g.demands[service]
+	if d == nil {
+		d = &placement.Demand{}
+		g.demands[service] = d
+	}
+	return d
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/routing"
+	"github.com/merlinpost/merlinpost/internal/telemetry"
+)
+
+const (
+	// answerGrace is how much longer than its deadline a request is held, so that
+	// an answer that its server gives at the deadline is still delivered.
+	answerGrace = 120 * time.Millisecond
+	// defaultBody bounds a request's body in bytes where the configuration does
+	// not.
+	defaultBody = 4 << 20
+	// interactiveTarget is the target latency up to which a caller is taken to be
+	// waiting for the first words. Reading one long prompt (12,000 tokens) takes an
+	// engine 0.2 s, so that targets of some hundred ms can't be met behind one.
+	interactiveTarget = time.Second
+)
+
+// request is one attempt of a caller on its way through the gateway.
+type request struct {
+	call     Call
+	table    *routing.Table
+	route    *routing.Route
+	team     *routing.Team
+	service  string
+	method   string
+	target   string
+	host     string
+	header   http.Header
+	body     []byte
+	hasBody  bool
+	start    time.Time
+	deadline time.Time // when the caller or the route gives up
+	priority int
+	sends    []send
+}
+
+// send is one try to have the request run.
+type send struct {
+	Server  string        `json:"server"`
+	Reason  string        `json:"reason"` // why the server was chosen
+	Fetch   string        `json:"fetch,omitempty"`
+	Result  string        `json:"result"`
+	Cause   string        `json:"cause,omitempty"`
+	Running int           `json:"running"`
+	Unread  int64         `json:"unread"`
+	At      time.Duration `json:"at"`   // since the request came
+	Took    time.Duration `json:"took"` // until the answer's head or the failure
+}
+
+// interactive reports whether the caller waits for the first words.
+func (q *request) interactive() bool { return q.route.TargetLatency <= interactiveTarget }
+
+// teamName returns the team's name, empty for a caller without a key.
+func (q *request) teamName() string {
+	if q.team == nil {
+		return ""
+	}
+	return q.team.Name
+}
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	start := g.now()
+	q, err := g.admit(r, start)
+	if err != nil {
+		g.refuse(w, q, err)
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline.Add(answerGrace), errDeadline)
+	defer cancel()
+	g.serve(ctx, w, q)
+}
+
+// errDeadline is the cause of a context that ended at the request's deadline.
+var errDeadline = errors.New("the deadline has passed")
+
+// admit finds the request's route and team and reads its body. Errors are typed
+// and mean that nothing has run. The returned request is never nil.
+func (g *Gateway) admit(r *http.Request, start time.Time) (*request, error) {
+	q := &request{start: start, method: r.Method, host: r.Host, header: r.Header, target: r.RequestURI}
+	if !strings.HasPrefix(q.target, "/") {
+		q.target = r.URL.RequestURI()
+	}
+	q.table = g.table.Load()
+	if q.table == nil {
+		return q, fault.New(fault.NotReady, "no configuration is known yet").With(fault.NotRun).After(startRetryAfter)
+	}
+	call, err := g.dialect.Call(r.Header)
+	q.call = call
+	if err != nil {
+		return q, err
+	}
+	path, _, _ := strings.Cut(q.target, "?")
+	if q.route = q.table.Route(r.Host, path); q.route == nil {
+		return q, fault.New(fault.NotFound, "no route for this host and path").With(fault.NotRun)
+	}
+	if q.team, err = q.table.Authenticate(q.route, call.Key); err != nil {
+		return q, err
+	}
+	q.setTerms(call)
+	return q, g.readBody(q, r)
+}
+
+// setTerms works out the deadline, priority and service.
+func (q *request) setTerms(call Call) {
+	left := q.route.Timeout
+	if call.Deadline > 0 {
+		left = min(left, call.Deadline)
+	}
+	q.deadline = q.start.Add(left)
+	q.priority = q.route.Priority
+	if q.team != nil && q.team.Priority != nil {
+		q.priority = *q.team.Priority
+	}
+	q.service = q.route.Service(xxhash.Sum64String(call.ID))
+}
+
+func (g *Gateway) readBody(q *request, r *http.Request) error {
+	bound := q.table.Limits.BodyBytes
+	if bound <= 0 {
+		bound = defaultBody
+	}
+	q.hasBody = r.ContentLength != 0
+	if r.ContentLength > bound {
+		return tooLarge(bound)
+	}
+	if !q.hasBody {
+		return nil
+	}
+	var err error
+	if r.ContentLength > 0 {
+		q.body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, q.body)
+	} else {
+		q.body, err = io.ReadAll(io.LimitReader(r.Body, bound+1))
+	}
+	switch {
+	case err != nil:
+		return fault.New(fault.BadRequest, "the body is not whole: %w", err).InField("body").With(fault.NotRun)
+	case int64(len(q.body)) > bound:
+		return tooLarge(bound)
+	}
+	// Reading on to the end lets the server notice that the caller leaves.
+	_, err = io.Copy(io.Discard, r.Body)
+	if err != nil {
+		return fault.New(fault.BadRequest, "the body is not whole: %w", err).InField("body").With(fault.NotRun)
+	}
+	return nil
+}
+
+func tooLarge(bound int64) error {
+	return fault.New(fault.TooLarge, "the body has more than %d bytes", bound).InField("body").With(fault.NotRun)
+}
+
+// serve has the request run and relays the answer.
+func (g *Gateway) serve(ctx context.Context, w http.ResponseWriter, q *request) {
+	g.budget(q.service).Request(g.now())
+	if q.route.PrefixAffinity {
+		g.demand(q.service).Add(q.call.Prompt, q.interactive(), g.now())
+	}
+	rel := &relay{w: w}
+	err := g.run(ctx, q, rel)
+	switch {
+	case err == nil:
+		g.finished(q, rel)
+	case rel.started:
+		g.broken(q, err)
+		// The only way to tell the caller that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	default:
+		g.refuse(w, q, err)
+	}
+	telemetry.Seconds("merlinpost_gateway_request_seconds", g.now().Sub(q.start), "team", q.teamName(), "class", q.route.Name)
+}
--- /dev/null
+++ b/internal/placement/demand.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// demandMemory is the time constant over which demand is measured: long
+	// enough for some tens of requests at a gateway, short against the bursts of
+	// 5 to 10 s that move the parts.
+	demandMemory = 4 * time.Second
+	// outputMs is the engine time of one generated token in a batch of about 30:
+	// a step of 6 ms shared by 30 requests.
+	outputMs = 0.2
+	// interactiveLoad and batchLoad are the shares of its time to which a server
+	// of each part is to be used. Waits of interactive requests are short only
+	// far from full use.
+	interactiveLoad = 0.5
+	batchLoad       = 0.8
+	// Bounds of the part for interactive requests.
+	minShare = 0.2
+	maxShare = 0.6
+)
+
+// Demand measures the engine time that each kind of request asks for, and from
+// it the share of the servers that interactive requests need. It is safe for
+// concurrent use.
+type Demand struct {
+	mu                 sync.Mutex
+	interactive, batch float64
+	at                 time.Time
+}
+
+// Add counts a request.
+func (d *Demand) Add(p Prompt, interactive bool, now time.Time) {
+	_, shared := p.Shared()
+	ms := float64(p.Tokens-shared)/tokensPerMs + outputMs*float64(p.Output)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forget(now)
+	if interactive {
+		d.interactive += ms
+	} else {
+		d.batch += ms
+	}
+}
+
+// Share returns the share of the servers for interactive requests.
+func (d *Demand) Share(now time.Time) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forget(now)
+	need, rest := d.interactive/interactiveLoad, d.batch/batchLoad
+	if need+rest == 0 {
+		return minShare
+	}
+	return min(max(need/(need+rest), minShare), maxShare)
+}
+
+func (d *Demand) forget(now time.Time) {
+	keep := math.Exp(-float64(now.Sub(d.at)) / float64(demandMemory))
+	d.interactive *= keep
+	d.batch *= keep
+	d.at = now
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,219 @@
+// Package placement chooses the backend server for a request: first the part of
+// the servers that serves its kind of work, then the server that holds its
+// prompt's shared parts, unless others are clearly less loaded. It has no state,
+// no clock and no network.
+package placement
+
+import (
+	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/internal/rendezvous"
+)
+
+// Part is a piece of a prompt that requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt describes what a model engine has to read and may generate.
+type Prompt struct {
+	Model  string
+	Tokens int // to read, all parts together
+	Output int // expected at most
+	Parts  []Part
+}
+
+// Shared returns the ID of the last part that other requests may share and the
+// tokens up to its end; the last part of all is the request's own.
+func (p Prompt) Shared() (id string, tokens int) {
+	if len(p.Parts) < 2 {
+		return "", 0
+	}
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		tokens += part.Tokens
+		id = part.ID
+	}
+	return id, tokens
+}
+
+// Candidate is a backend server with its state.
+type Candidate struct {
+	Backend *registry.Backend
+	Server  registry.Server
+	View    registry.View
+	// Tried servers have already failed this request.
+	Tried bool
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	Prompt Prompt
+	// Interactive requests have a caller waiting for the first words.
+	Interactive bool
+	// FailureDomain is where the gateway stands.
+	FailureDomain string
+	// Draw is a uniform random number in [0, 1) for ties.
+	Draw float64
+}
+
+// Choice is the result.
+type Choice struct {
+	Candidate *Candidate
+	// FetchFrom is the address of a server that holds shared parts which the
+	// chosen one may lack; empty for none.
+	FetchFrom string
+	// Reason says why: home, spread, or least.
+	Reason string
+}
+
+const (
+	// tokensPerMs is about what an engine reads of prompts. It only weighs
+	// unread prompts against running requests, so that its exact value matters
+	// little.
+	tokensPerMs = 57
+	// runningMs is what a running request adds to the wait of a new one: its
+	// share of a step over the tokens of an event.
+	runningMs = 3.0
+	// homeSlackMs is how much longer the wait at the home may be before the
+	// request goes elsewhere and fetches the shared parts (about 5 ms for 5,000
+	// tokens, plus the connection between engines).
+	homeSlackMs = 60.0
+	// minFetch is the number of shared tokens from which a fetch is worth its
+	// round trip: fewer are read in 4 ms.
+	minFetch = 256
+	// errorWeightMs is the wait that a server's share of failed requests stands
+	// for: at a share of 0.3 it outweighs a full queue.
+	errorWeightMs = 2000.0
+	// avoidedMs puts servers that could not be reached behind all others.
+	avoidedMs = 1e6
+	// triedMs puts servers that failed this request behind those.
+	triedMs = 1e7
+	// remoteMs is what another failure domain costs: the round trip and the
+	// price of the bytes between domains.
+	remoteMs = 4.0
+)
+
+// Engine chooses among the servers of a model service. share is the part of the
+// servers that interactive requests have for themselves.
+func Engine(req Request, candidates []Candidate, share float64) Choice {
+	part := pick(candidates, share, req.Interactive)
+	if len(part) == 0 {
+		return Choice{}
+	}
+	best := least(part, req)
+	if req.Interactive && saturated(best) {
+		if spill := least(all(candidates), req); !saturated(spill) {
+			best = spill
+		}
+	}
+	shared, tokens := req.Prompt.Shared()
+	if shared == "" {
+		return Choice{Candidate: best, Reason: "least"}
+	}
+	home := homeOf(shared, part)
+	if cost(home, req) <= cost(best, req)+homeSlackMs {
+		return Choice{Candidate: home, Reason: "home"}
+	}
+	c := Choice{Candidate: best, Reason: "spread"}
+	if tokens >= minFetch && !home.View.Avoided {
+		c.FetchFrom = home.Server.Address
+	}
+	return c
+}
+
+// Plain chooses among the servers of a plain service.
+func Plain(req Request, candidates []Candidate) Choice {
+	if len(candidates) == 0 {
+		return Choice{}
+	}
+	return Choice{Candidate: least(all(candidates), req), Reason: "least"}
+}
+
+// saturated servers have no free slot or requests that wait for one.
+func saturated(c *Candidate) bool {
+	l := c.View.Load
+	return l.Slots > 0 && (l.Waiting > 0 || l.Running >= l.Slots)
+}
+
+func all(candidates []Candidate) []*Candidate {
+	out := make([]*Candidate, len(candidates))
+	for i := range candidates {
+		out[i] = &candidates[i]
+	}
+	return out
+}
+
+// pick returns the part of the servers for interactive requests or for the
+// others. Every gateway that knows the same list comes to the same order.
+func pick(candidates []Candidate, share float64, interactive bool) []*Candidate {
+	n := len(candidates)
+	if n < 2 {
+		return all(candidates)
+	}
+	first := min(max(int(share*float64(n)+0.5), 1), n-1)
+	byID := make(map[string]*Candidate, n)
+	ids := make([]string, n)
+	for i := range candidates {
+		ids[i] = candidates[i].Server.ID
+		byID[ids[i]] = &candidates[i]
+	}
+	domain := func(id string) string { return byID[id].Server.FailureDomain }
+	ranked := rendezvous.Spread("parts", ids, domain, n)
+	if interactive {
+		ranked = ranked[:first]
+	} else {
+		ranked = ranked[first:]
+	}
+	out := make([]*Candidate, len(ranked))
+	for i, id := range ranked {
+		out[i] = byID[id]
+	}
+	return out
+}
+
+func homeOf(key string, part []*Candidate) *Candidate {
+	ids := make([]string, len(part))
+	for i, c := range part {
+		ids[i] = c.Server.ID
+	}
+	first := rendezvous.First(key, ids)
+	for _, c := range part {
+		if c.Server.ID == first {
+			return c
+		}
+	}
+	return part[0]
+}
+
+// least returns the candidate with the lowest cost; ties go by the draw.
+func least(part []*Candidate, req Request) *Candidate {
+	start := int(req.Draw * float64(len(part)))
+	var (
+		best *Candidate
+		low  float64
+	)
+	for i := range part {
+		c := part[(start+i)%len(part)]
+		if k := cost(c, req); best == nil || k < low {
+			best, low = c, k
+		}
+	}
+	return best
+}
+
+// cost is the wait in ms that the request would meet at the server, as far as
+// this gateway can tell.
+func cost(c *Candidate, req Request) float64 {
+	v := c.View
+	ms := float64(v.Unread)/tokensPerMs + runningMs*float64(v.Running) + errorWeightMs*v.ErrorShare
+	if c.Server.FailureDomain != req.FailureDomain {
+		ms += remoteMs
+	}
+	if v.Avoided {
+		ms += avoidedMs
+	}
+	if c.Tried {
+		ms += triedMs
+	}
+	return ms
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,157 @@
+// Package registry knows the backend servers that run without an agent: which
+// may get new work now, and what this process has seen of each.
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Server is what a backend server has registered of itself.
+type Server struct {
+	// ID names one start of a backend server; a restart has another.
+	ID            string
+	Service       string
+	Address       string // IP:PORT
+	FailureDomain string
+	Slots         int
+	// Draining servers finish what they have and take no new work.
+	Draining bool
+	// ColdFor is how much longer the server stays slow after its start.
+	ColdFor time.Duration
+}
+
+// Change is one entry of the list as it was written: the newest entry of a
+// server, or its removal when Server is nil.
+type Change struct {
+	ID     string
+	Server *Server
+}
+
+// Registry is the list of backend servers. It is safe for concurrent use.
+type Registry struct {
+	mu       sync.RWMutex
+	backends map[string]*Backend
+	ready    map[string][]*Backend // by service, in order of ID
+	loaded   bool
+	updated  time.Time
+	// expiries holds removals that may be an effect of an outage of the list,
+	// with the time at which each counts.
+	expiries map[string]time.Time
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{backends: map[string]*Backend{}, ready: map[string][]*Backend{}, expiries: map[string]time.Time{}}
+}
+
+// Apply takes in changes in the order in which they were written. Removals are
+// held back until the time that grace names, zero for none: an entry may have
+// expired while its server could not renew it.
+func (r *Registry) Apply(changes []Change, now, grace time.Time) (dropped []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range changes {
+		if c.Server != nil {
+			r.put(*c.Server)
+			continue
+		}
+		if b := r.backends[c.ID]; b != nil && now.Before(grace) && !b.server().Draining {
+			r.expiries[c.ID] = grace
+			continue
+		}
+		dropped = r.drop(c.ID, dropped)
+	}
+	dropped = r.expire(now, dropped)
+	r.updated = now
+	r.rebuild()
+	return dropped
+}
+
+// Replace takes in a whole list. Servers that it lacks are dropped, after grace
+// as in Apply.
+func (r *Registry) Replace(list []Server, now, grace time.Time) (dropped []string) {
+	listed := make(map[string]bool, len(list))
+	changes := make([]Change, 0, len(list))
+	for i := range list {
+		listed[list[i].ID] = true
+		changes = append(changes, Change{ID: list[i].ID, Server: &list[i]})
+	}
+	r.mu.Lock()
+	for id := range r.backends {
+		if !listed[id] {
+			changes = append(changes, Change{ID: id})
+		}
+	}
+	r.loaded = true
+	r.mu.Unlock()
+	return r.Apply(changes, now, grace)
+}
+
+func (r *Registry) put(s Server) {
+	delete(r.expiries, s.ID)
+	b := r.backends[s.ID]
+	if b == nil {
+		b = &Backend{}
+		r.backends[s.ID] = b
+	}
+	b.entry.Store(&s)
+}
+
+func (r *Registry) drop(id string, dropped []string) []string {
+	delete(r.expiries, id)
+	if r.backends[id] == nil {
+		return dropped
+	}
+	delete(r.backends, id)
+	return append(dropped, id)
+}
+
+func (r *Registry) expire(now time.Time, dropped []string) []string {
+	for id, at := range r.expiries {
+		if !now.Before(at) {
+			dropped = r.drop(id, dropped)
+		}
+	}
+	return dropped
+}
+
+func (r *Registry) rebuild() {
+	ready := map[string][]*Backend{}
+	for _, b := range r.backends {
+		if s := b.server(); !s.Draining {
+			ready[s.Service] = append(ready[s.Service], b)
+		}
+	}
+	for _, list := range ready {
+		slices.SortFunc(list, func(a, b *Backend) int { return cmp.Compare(a.server().ID, b.server().ID) })
+	}
+	r.ready = ready
+}
+
+// Ready returns the backend servers of a service that may get new work, in
+// order of ID. The slice must not be changed.
+func (r *Registry) Ready(service string) []*Backend {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.ready[service]
+}
+
+// Loaded reports whether a whole list has been taken in.
+func (r *Registry) Loaded() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.loaded
+}
+
+// Age returns how long ago the list was last confirmed.
+func (r *Registry) Age(now time.Time) time.Duration {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return now.Sub(r.updated)
+}
+
+// Confirmed records that the list was found unchanged.
+func (r *Registry) Confirmed(now time.Time) (dropped []string) { return r.Apply(nil, now, time.Time{}) }
