Rank requests at engines by team priority, then by the route's

Ruled out: a wrong parting (interactive requests stood on 29 servers). Change: rank = 3 x team priority + route priority. Also: limits of the configuration in force on callers' connections, room for bodies, connections of chunked requests end with the answer, one in so many successes logged by a setting.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"os"
+	"runtime/debug"
 
 	"github.com/merlinpost/merlinpost/internal/decisionlog"
 	"github.com/merlinpost/merlinpost/internal/gateway"
@@ -12,18 +13,27 @@
 )
 
 type gatewayCmd struct {
-	MetricsPort int `arg:"--metrics-port" default:"9464" help:"port of the metrics page on the host's address; 0 for none"`
+	MetricsPort int    `arg:"--metrics-port" default:"9464" help:"port of the metrics page on the host's address; 0 for none"`
+	LogOneIn    uint64 `arg:"--log-one-in" default:"16" help:"log one in so many plain successes"`
 }
 
-func (c *gatewayCmd) run(ctx context.Context, out io.Writer) error {
+// memoryShare is the part of the host's memory at which the garbage collector
+// works harder; the rest is for what it does not see, such as socket buffers.
+const memoryShare = 0.7
+
+func (c *gatewayCmd) run(ctx context.Context, _ io.Writer) error {
 	set, err := platform.ReadSettings()
 	if err != nil {
 		return err
 	}
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * set.MemoryMB * (1 << 20)))
+	}
 	lines := decisionlog.NewWriter(os.Stdout)
 	logger := decisionlog.NewLogger(lines)
+	own := platform.Own{MetricsPort: c.MetricsPort, LogOneIn: c.LogOneIn}
 	servers := registry.New()
-	g := gateway.New(set.Gateway(c.MetricsPort), platform.Dialect{}, servers, logger)
+	g := gateway.New(set.Gateway(own), platform.Dialect{}, servers, logger)
 	ctx, stop := stopSignals(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -31,7 +41,7 @@
 	go follower.Run(ctx)
 	go platform.WatchSettings(ctx, set, logger, func(s platform.Settings) {
 		follower.SetSettings(s)
-		g.SetSettings(s.Gateway(c.MetricsPort))
+		g.SetSettings(s.Gateway(own))
 	})
 	return g.Serve(ctx, stop)
 }
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -59,9 +59,7 @@
 	return slog.New(slog.NewJSONHandler(q, &slog.HandlerOptions{Level: slog.LevelInfo}))
 }
 
-// sampleOneIn is the share of successes that are logged. All processes keep the
-// same requests, because the choice goes by the ID.
-const sampleOneIn = 16
-
-// Sampled reports whether the success of the request with this ID is logged.
-func Sampled(id string) bool { return xxhash.Sum64String(id)%sampleOneIn == 0 }
+// Sampled reports whether the success of the request with this ID is logged when
+// one in n is. All processes keep the same requests, because the choice goes by
+// the ID.
+func Sampled(id string, n uint64) bool { return n <= 1 || xxhash.Sum64String(id)%n == 0 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -18,6 +18,7 @@
 	// The caller's or operator's input.
 	BadRequest     Code = "bad_request"
 	TooLarge       Code = "too_large"
+	HeadTooLarge   Code = "head_too_large"
 	Unauthorized   Code = "unauthorized"
 	Forbidden      Code = "forbidden"
 	NotFound       Code = "not_found"
@@ -134,7 +135,7 @@
 var statusByCode = map[Code]int{
 	BadRequest: http.StatusBadRequest, Unsupported: http.StatusBadRequest,
 	KeyRequired: http.StatusBadRequest, InvalidConfig: http.StatusUnprocessableEntity,
-	TooLarge: http.StatusRequestEntityTooLarge, Unauthorized: http.StatusUnauthorized,
+	TooLarge: http.StatusRequestEntityTooLarge, HeadTooLarge: http.StatusRequestHeaderFieldsTooLarge, Unauthorized: http.StatusUnauthorized,
 	Forbidden: http.StatusForbidden, NotFound: http.StatusNotFound,
 	UnknownClass: http.StatusBadRequest, UnknownModel: http.StatusNotFound,
 	UnknownService: http.StatusNotFound, KeyConflict: http.StatusConflict,
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -56,7 +56,7 @@
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	if e.Code == fault.BadRequest || e.Code == fault.TooLarge {
+	if e.Code == fault.BadRequest || e.Code == fault.TooLarge || e.Code == fault.HeadTooLarge {
 		h.Set("Connection", "close") // what follows on the connection can't be trusted
 	}
 	w.WriteHeader(status)
@@ -83,7 +83,7 @@
 // finished logs a request that was answered; successes are sampled.
 func (g *Gateway) finished(q *request, rel *relay) {
 	telemetry.Count("merlinpost_gateway_answers_total", "class", q.route.Name, "status", strconv.Itoa(rel.status))
-	if rel.status < http.StatusBadRequest && len(q.sends) == 1 && !decisionlog.Sampled(q.call.ID) {
+	if rel.status < http.StatusBadRequest && len(q.sends) == 1 && !decisionlog.Sampled(q.call.ID, g.settings.Load().LogOneIn) {
 		return
 	}
 	g.logger.Info("request answered", append(g.fields(q),
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -212,15 +212,25 @@
 	f := Forwarding{Deadline: max(q.deadline.Sub(g.now()), time.Millisecond), ServerID: server.ID, Team: q.teamName(),
 		Urgency: -1, FetchFrom: fetchFrom, LastEventID: rel.lastEventID()}
 	if q.route.PrefixAffinity {
-		f.Urgency = urgency(q.priority)
+		f.Urgency = urgency(q.priority, q.route.Priority)
 	}
 	g.dialect.Forward(header, f)
 	return &exchange.Request{Method: q.method, Target: q.target, Host: q.host, Header: header, Body: q.body, HasBody: q.hasBody,
 		EchoHeader: g.dialect.EchoHeader(), EchoID: q.call.ID, MayRepeat: q.route.MayRepeat()}
 }
 
-// leastUrgent is the last rank that engines know.
-const leastUrgent = 9
+const (
+	// leastUrgent is the last rank that engines know.
+	leastUrgent = 9
+	// routeRanks is the number of ranks that routes get within one priority of a
+	// team: three priorities of teams by three of routes fill an engine's ranks.
+	routeRanks = 3
+)
 
-// urgency maps a priority to an engine's rank, 0 first.
-func urgency(priority int) int { return min(max(priority, 0), leastUrgent) }
+// urgency maps priorities to an engine's rank, 0 first. The priority of a team,
+// where it has one, goes before the route's; among equals the route's decides,
+// so that a team's reports do not displace its own interactive requests.
+func urgency(priority, ofRoute int) int {
+	rank := max(priority, 0)*routeRanks + min(max(ofRoute, 0), routeRanks-1)
+	return min(rank, leastUrgent)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,9 @@
 	// DrainGrace is the time from SIGTERM to the end of the process.
 	DrainGrace time.Duration
 	Retries    retrybudget.Settings
+	// LogOneIn is the share of plain successes that get a log line: one in so
+	// many, chosen by ID.
+	LogOneIn uint64
 }
 
 // Gateway is the state of one process. Its methods are safe for concurrent use.
@@ -49,6 +52,7 @@
 	pool      *exchange.Pool
 	stopping  atomic.Bool
 	inFlight  atomic.Int64
+	bodies    atomic.Int64 // bytes of bodies in progress
 
 	mu      sync.Mutex
 	budgets map[string]*retrybudget.Budget // by service
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -19,9 +18,6 @@
 	// answerGrace is how much longer than its deadline a request is held, so that
 	// an answer that its server gives at the deadline is still delivered.
 	answerGrace = 120 * time.Millisecond
-	// defaultBody bounds a request's body in bytes where the configuration does
-	// not.
-	defaultBody = 4 << 20
 	// interactiveTarget is the target latency up to which a caller is taken to be
 	// waiting for the first words. Reading one long prompt (12,000 tokens) takes an
 	// engine 0.2 s, so that targets of some hundred ms can't be met behind one.
@@ -41,6 +37,7 @@
 	header   http.Header
 	body     []byte
 	hasBody  bool
+	reserved int64 // bytes that the body takes of the room for bodies
 	start    time.Time
 	deadline time.Time // when the caller or the route gives up
 	priority int
@@ -75,11 +72,11 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.stopping.Load() {
+	if closeAfter(r) {
 		w.Header().Set("Connection", "close")
 	}
-	start := g.now()
-	q, err := g.admit(r, start)
+	q, err := g.admit(r, g.now())
+	defer g.release(q)
 	if err != nil {
 		g.refuse(w, q, err)
 		return
@@ -103,6 +100,9 @@
 	if q.table == nil {
 		return q, fault.New(fault.NotReady, "no configuration is known yet").With(fault.NotRun).After(startRetryAfter)
 	}
+	if err := checkHead(r, q.table.Limits.HeaderBytes); err != nil {
+		return q, err
+	}
 	call, err := g.dialect.Call(r.Header)
 	q.call = call
 	if err != nil {
@@ -133,43 +133,6 @@
 	q.service = q.route.Service(xxhash.Sum64String(call.ID))
 }
 
-func (g *Gateway) readBody(q *request, r *http.Request) error {
-	bound := q.table.Limits.BodyBytes
-	if bound <= 0 {
-		bound = defaultBody
-	}
-	q.hasBody = r.ContentLength != 0
-	if r.ContentLength > bound {
-		return tooLarge(bound)
-	}
-	if !q.hasBody {
-		return nil
-	}
-	var err error
-	if r.ContentLength > 0 {
-		q.body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, q.body)
-	} else {
-		q.body, err = io.ReadAll(io.LimitReader(r.Body, bound+1))
-	}
-	switch {
-	case err != nil:
-		return fault.New(fault.BadRequest, "the body is not whole: %w", err).InField("body").With(fault.NotRun)
-	case int64(len(q.body)) > bound:
-		return tooLarge(bound)
-	}
-	// Reading on to the end lets the server notice that the caller leaves.
-	_, err = io.Copy(io.Discard, r.Body)
-	if err != nil {
-		return fault.New(fault.BadRequest, "the body is not whole: %w", err).InField("body").With(fault.NotRun)
-	}
-	return nil
-}
-
-func tooLarge(bound int64) error {
-	return fault.New(fault.TooLarge, "the body has more than %d bytes", bound).InField("body").With(fault.NotRun)
-}
-
 // serve has the request run and relays the answer.
 func (g *Gateway) serve(ctx context.Context, w http.ResponseWriter, q *request) {
 	g.budget(q.service).Request(g.now())
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,12 +21,6 @@
 	drainPoll = 20 * time.Millisecond
 	// sweepEvery is how often idle connections are looked through.
 	sweepEvery = time.Second
-	// defaultHeaderTimeout and defaultIdleTimeout bound callers where the
-	// configuration does not.
-	defaultHeaderTimeout = 5 * time.Second
-	defaultIdleTimeout   = 60 * time.Second
-	// maxHeaderBytes bounds a request's head; configurations ask for 16 KB.
-	maxHeaderBytes = 32 << 10
 )
 
 // Serve serves callers, readiness checks and metrics until ctx ends or, after
@@ -41,14 +35,14 @@
 		return err
 	}
 	server := &http.Server{Handler: g, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog()}
+		MaxHeaderBytes: maxHeaderBytes, ConnState: connState, ErrorLog: discardLog()}
 	failed := make(chan error, 3)
 	serve := func(s *http.Server, l net.Listener) {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
 	}
-	go serve(server, callers)
+	go serve(server, callerListener{callers, g.limits})
 	go serve(&http.Server{Handler: g.checks(), ErrorLog: discardLog()}, checks)
 	if g.settings.Load().Metrics != "" {
 		page, err := net.Listen("tcp", g.settings.Load().Metrics)
