--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -30,6 +30,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * set.MemoryMB * (1 << 20)))
 	}
 	lines := decisionlog.NewWriter(os.Stdout)
+	defer lines.Close()
 	logger := decisionlog.NewLogger(lines)
 	own := platform.Own{MetricsPort: c.MetricsPort, LogOneIn: c.LogOneIn}
 	servers := registry.New()
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -32,6 +32,9 @@
 func (q *Writer) run(w io.Writer) {
 	defer close(q.done)
 	for line := range q.lines {
+		if line == nil {
+			return
+		}
 		if _, err := w.Write(line); err != nil {
 			telemetry.Count("merlinpost_log_lines_dropped_total", "reason", "write_failed")
 		}
@@ -48,9 +51,9 @@
 	return len(line), nil
 }
 
-// Close writes what is queued. Nothing may be written after it.
+// Close writes what is queued. Lines that come later are dropped.
 func (q *Writer) Close() {
-	close(q.lines)
+	q.lines <- nil
 	<-q.done
 }
 
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,177 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/merlinpost/merlinpost/internal/standin/worker"
+)
+
+func TestExchange(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "exchange")
+}
+
+var _ = Describe("an exchange with a backend server", func() {
+	var (
+		server *worker.Worker
+		pool   *Pool
+		clock  time.Time
+	)
+	BeforeEach(func() {
+		var err error
+		server, err = worker.Start("i-1")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		clock = time.Unix(0, 0)
+		pool = NewPool(func() time.Time { return clock }, func() {})
+	})
+	request := func(id, body string) *Request {
+		return &Request{Method: "POST", Target: "/a%20b/?x=1", Host: "a.example", Header: http.Header{"X-Attempt-Id": {id}},
+			Body: []byte(body), HasBody: body != "", EchoHeader: "X-Attempt-Id", EchoID: id, MayRepeat: true}
+	}
+	do := func(id, body string) (string, int, error) {
+		resp, err := pool.Do(context.Background(), server.Address(), request(id, body))
+		if err != nil {
+			return "", 0, err
+		}
+		defer resp.Close()
+		answer, err := io.ReadAll(resp)
+		return string(answer), resp.Status, err
+	}
+	failure := func(err error) *Error {
+		var e *Error
+		Expect(errors.As(err, &e)).To(BeTrue(), "%v", err)
+		return e
+	}
+
+	It("passes method, target and body on as they are and keeps the connection", func() {
+		for _, id := range []string{"a", "b"} {
+			answer, status, err := do(id, "body of "+id)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(200))
+			Expect(answer).To(Equal(worker.Answer(id)))
+		}
+		runs := server.Runs()
+		Expect(runs).To(HaveLen(2))
+		Expect(runs[1].Method).To(Equal("POST"))
+		Expect(runs[1].Target).To(Equal("/a%20b/?x=1"))
+		Expect(runs[1].Body).To(Equal("body of b"))
+		Expect(server.Opened()).To(Equal(1))
+	})
+
+	It("was not sent when no connection opens", func() {
+		server.Close()
+		_, _, err := do("a", "")
+		Expect(failure(err).MayHaveRun).To(BeFalse())
+		Expect(failure(err).Stage).To(Equal(Connecting))
+	})
+
+	It("may have run when the connection ends without an answer", func() {
+		server.Next(worker.Behaviour{Drop: true})
+		_, _, err := do("a", "")
+		Expect(failure(err).MayHaveRun).To(BeTrue())
+	})
+
+	It("skips the answer to another request", func() {
+		server.Next(worker.Behaviour{ExtraBefore: true, BreakAfter: -1})
+		answer, _, err := do("a", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer).To(Equal(worker.Answer("a")))
+	})
+
+	It("takes an answer without length as whole when its connection ends in order", func() {
+		server.Next(worker.Behaviour{Unframed: true, BreakAfter: -1})
+		answer, _, err := do("a", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer).To(Equal(worker.Answer("a")))
+		_, _, err = do("b", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.Opened()).To(Equal(2))
+	})
+
+	It("tells a stream that breaks off from a whole one", func() {
+		server.Next(worker.Behaviour{Events: 3, BreakAfter: 1})
+		answer, _, err := do("a", "")
+		Expect(err).To(HaveOccurred())
+		Expect(answer).To(HavePrefix(worker.Event("a", 1)))
+		server.Next(worker.Behaviour{Events: 3, BreakAfter: -1})
+		answer, _, err = do("b", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer).To(Equal(worker.Stream("b", 3)))
+	})
+
+	It("takes an answer that comes before a long body has been read, and loses no byte of it", func() {
+		long := strings.Repeat("x", 8<<20)
+		server.Next(worker.Behaviour{Early: true})
+		_, status, err := do("a", long)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(413))
+		answer, _, err := do("b", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer).To(Equal(worker.Answer("b")))
+	})
+
+	It("does not use a connection that its server has closed", func() {
+		_, _, err := do("a", "")
+		Expect(err).NotTo(HaveOccurred())
+		server.CloseConnections()
+		Eventually(func() bool {
+			pool.mu.Lock()
+			defer pool.mu.Unlock()
+			return pool.idle[server.Address()][0].sound()
+		}).Should(BeFalse())
+		_, _, err = do("b", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.Opened()).To(Equal(2))
+	})
+
+	It("sends a request that may run only once on a fresh connection", func() {
+		_, _, err := do("a", "")
+		Expect(err).NotTo(HaveOccurred())
+		clock = clock.Add(idleOnce + time.Millisecond)
+		once := request("b", "")
+		once.MayRepeat = false
+		resp, err := pool.Do(context.Background(), server.Address(), once)
+		Expect(err).NotTo(HaveOccurred())
+		resp.Close()
+		Expect(server.Opened()).To(Equal(2))
+	})
+
+	It("closes idle connections that are too old", func() {
+		_, _, err := do("a", "")
+		Expect(err).NotTo(HaveOccurred())
+		clock = clock.Add(idleRepeatable + time.Millisecond)
+		pool.Sweep()
+		Expect(pool.idle).To(BeEmpty())
+	})
+
+	It("ends when its context does, and the server notices", func() {
+		server.Next(worker.Behaviour{Hang: true})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			defer GinkgoRecover()
+			Eventually(server.Runs).Should(HaveLen(1))
+			cancel()
+		}()
+		_, err := pool.Do(ctx, server.Address(), request("a", ""))
+		Expect(failure(err).MayHaveRun).To(BeTrue())
+		Expect(errors.Is(err, context.Canceled)).To(BeTrue())
+		Eventually(server.Left).Should(Equal(1))
+	})
+})
+
+func TestKeepAliveTimes(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(keepAlive(http.Header{"Keep-Alive": {"timeout=5, max=100"}})).To(Equal(5 * time.Second))
+	g.Expect(keepAlive(http.Header{"Keep-Alive": {"max=100"}})).To(BeZero())
+	g.Expect(keepAlive(http.Header{"Keep-Alive": {"timeout=soon"}})).To(BeZero())
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,14 @@
 	g.tableTime.Store(&now)
 }
 
+// ConfigVersion returns the version in force, 0 for none.
+func (g *Gateway) ConfigVersion() int64 {
+	if t := g.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
 // tableAge returns how long ago the configuration was last confirmed.
 func (g *Gateway) tableAge() time.Duration {
 	at := g.tableTime.Load()
--- /dev/null
+++ b/internal/gateway/gateway_suite_test.go
@@ -0,0 +1,145 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/merlinpost/merlinpost/internal/gateway"
+	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/internal/retrybudget"
+	"github.com/merlinpost/merlinpost/internal/routing"
+	"github.com/merlinpost/merlinpost/internal/standin/worker"
+	"github.com/merlinpost/merlinpost/platform"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+// rig is a gateway before stand-in workers, on a real connection.
+type rig struct {
+	gateway *gateway.Gateway
+	servers *registry.Registry
+	workers []*worker.Worker
+	front   *httptest.Server
+	client  *http.Client
+}
+
+// routes of the rig, all on host a.example.
+var routes = []routing.Route{
+	{Name: "once", Host: "a.example", PathPrefix: "/once/", Kind: routing.NonIdempotent, Timeout: 5 * time.Second, MaxAttempts: 2},
+	{Name: "again", Host: "a.example", PathPrefix: "/again/", Kind: routing.Idempotent, Timeout: 5 * time.Second, MaxAttempts: 2},
+	{Name: "stream", Host: "a.example", PathPrefix: "/stream/", Kind: routing.Streaming, Timeout: 5 * time.Second, MaxAttempts: 2, PrefixAffinity: true},
+	{Name: "resume", Host: "a.example", PathPrefix: "/resume/", Kind: routing.Streaming, Resumable: true, Timeout: 5 * time.Second, MaxAttempts: 2, PrefixAffinity: true},
+	{Name: "open", Host: "a.example", PathPrefix: "/open/", Kind: routing.Idempotent, Timeout: 5 * time.Second, MaxAttempts: 1, Anonymous: true},
+	{Name: "short", Host: "a.example", PathPrefix: "/short/", Kind: routing.Idempotent, Timeout: 50 * time.Millisecond, MaxAttempts: 1},
+}
+
+func table() *routing.Table {
+	contents := routing.Contents{Version: 1, Limits: routing.Limits{BodyBytes: 1000, HeaderBytes: 2000},
+		Services: []routing.Service{{Name: "s"}}, Teams: map[string]*routing.Team{"key": {Name: "team"}}}
+	for _, r := range routes {
+		r.Targets = []routing.Target{{Service: "s", Weight: 1}}
+		contents.Routes = append(contents.Routes, r)
+	}
+	t, err := routing.New(contents)
+	Expect(err).NotTo(HaveOccurred())
+	return t
+}
+
+func newRig(workers int) *rig {
+	r := &rig{servers: registry.New(), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+	r.gateway = gateway.New(gateway.Settings{Retries: retrybudget.Settings{Ratio: 0.2, Window: 10 * time.Second, Spare: 2}},
+		platform.Dialect{}, r.servers, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	var list []registry.Server
+	for i := range workers {
+		w, err := worker.Start(fmt.Sprintf("i-%d", i))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(w.Close)
+		r.workers = append(r.workers, w)
+		list = append(list, registry.Server{ID: w.ID, Service: "s", Address: w.Address(), Slots: 8})
+	}
+	r.servers.Replace(list, time.Now(), time.Time{})
+	r.front = httptest.NewServer(r.gateway)
+	DeferCleanup(r.front.Close)
+	DeferCleanup(r.client.CloseIdleConnections)
+	return r
+}
+
+// started puts the configuration in force.
+func started(workers int) *rig {
+	r := newRig(workers)
+	Expect(r.gateway.SetTable(table())).To(BeTrue())
+	return r
+}
+
+func (r *rig) request(ctx context.Context, path, id, body string) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.front.URL+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "a.example"
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("Api-Key", "key")
+	return req
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r *rig) send(req *http.Request) answer {
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(body), err}
+}
+
+func (r *rig) post(path, id string) answer {
+	return r.send(r.request(context.Background(), path, id, "body of "+id))
+}
+
+// runs returns everything that ran on any worker.
+func (r *rig) runs() []worker.Run {
+	var out []worker.Run
+	for _, w := range r.workers {
+		out = append(out, w.Runs()...)
+	}
+	return out
+}
+
+// next sets what the worker that is asked first does with its next request.
+func (r *rig) next(b worker.Behaviour) {
+	for _, w := range r.workers {
+		w.Next(b)
+	}
+}
+
+// raw sends bytes on a connection of their own and returns what comes back.
+func (r *rig) raw(text string) *bufio.Reader {
+	c, err := net.Dial("tcp", r.front.Listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	_, err = io.WriteString(c, text)
+	Expect(err).NotTo(HaveOccurred())
+	return bufio.NewReader(c)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -101,7 +101,12 @@
 		return Choice{}
 	}
 	best := least(part, req)
-	if req.Interactive && saturated(best) {
+	switch {
+	case best.Tried || best.View.Avoided:
+		// No server of the part is left: the rest may be.
+		part = all(candidates)
+		best = least(part, req)
+	case req.Interactive && saturated(best):
 		if spill := least(all(candidates), req); !saturated(spill) {
 			best = spill
 		}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,123 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func ids(r *Registry) []string {
+	var out []string
+	for _, b := range r.Ready("s") {
+		out = append(out, b.Server().ID)
+	}
+	return out
+}
+
+func TestOnlyReadyServersGetWork(t *testing.T) {
+	g := NewWithT(t)
+	r, now := New(), time.Now()
+	g.Expect(r.Loaded()).To(BeFalse())
+	r.Replace([]Server{{ID: "b", Service: "s"}, {ID: "a", Service: "s"}, {ID: "c", Service: "s", Draining: true}, {ID: "d", Service: "other"}}, now, time.Time{})
+	g.Expect(r.Loaded()).To(BeTrue())
+	g.Expect(ids(r)).To(Equal([]string{"a", "b"}))
+	g.Expect(r.Apply([]Change{{ID: "a", Server: &Server{ID: "a", Service: "s", Draining: true}}, {ID: "b"}}, now, time.Time{})).To(Equal([]string{"b"}))
+	g.Expect(ids(r)).To(BeEmpty())
+}
+
+func TestRemovalsAfterAnOutageAreHeldBack(t *testing.T) {
+	g := NewWithT(t)
+	r, now := New(), time.Now()
+	r.Replace([]Server{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s", Draining: true}}, now, time.Time{})
+	grace := now.Add(time.Second)
+	g.Expect(r.Replace(nil, now, grace)).To(Equal([]string{"c"})) // it had said that it leaves
+	g.Expect(ids(r)).To(Equal([]string{"a", "b"}))
+	r.Apply([]Change{{ID: "a", Server: &Server{ID: "a", Service: "s"}}}, now.Add(500*time.Millisecond), grace)
+	g.Expect(r.Apply(nil, grace, grace)).To(Equal([]string{"b"}))
+	g.Expect(ids(r)).To(Equal([]string{"a"}))
+}
+
+// Whatever is written in whatever order, the servers that may get work are those
+// whose newest entry is ready, and a removal is never held back beyond its grace.
+func TestTheNewestEntryDecides(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, now := New(), time.Unix(0, 0)
+		newest := map[string]bool{}
+		var grace time.Time
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "outage") == 0 {
+				grace = now.Add(2 * time.Second)
+			}
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			switch rapid.IntRange(0, 2).Draw(t, "change") {
+			case 0:
+				r.Apply([]Change{{ID: id, Server: &Server{ID: id, Service: "s"}}}, now, grace)
+				newest[id] = true
+			case 1:
+				r.Apply([]Change{{ID: id, Server: &Server{ID: id, Service: "s", Draining: true}}}, now, grace)
+				newest[id] = false
+			default:
+				r.Apply([]Change{{ID: id}}, now, grace)
+				newest[id] = false
+			}
+		}
+		r.Apply(nil, now.Add(3*time.Second), grace)
+		ready := map[string]bool{}
+		for _, id := range ids(r) {
+			ready[id] = true
+		}
+		for id, want := range newest {
+			if ready[id] != want {
+				t.Fatalf("%s: ready %v, want %v", id, ready[id], want)
+			}
+		}
+	})
+}
+
+func TestAnUnreachableServerIsAvoidedForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	b, now := &Backend{}, time.Unix(0, 0)
+	b.Failed(now, true)
+	g.Expect(b.View(now).Avoided).To(BeTrue())
+	g.Expect(b.View(now.Add(firstAvoidance)).Avoided).To(BeFalse())
+	for range 20 {
+		b.Failed(now, true)
+	}
+	g.Expect(b.View(now.Add(longestAvoidance - time.Millisecond)).Avoided).To(BeTrue())
+	g.Expect(b.View(now.Add(longestAvoidance)).Avoided).To(BeFalse())
+	b.Answered(now)
+	g.Expect(b.View(now).Avoided).To(BeFalse())
+}
+
+func TestTheErrorShareFollowsWhatFailsNow(t *testing.T) {
+	g := NewWithT(t)
+	b, now := &Backend{}, time.Unix(0, 0)
+	for i := range 100 {
+		now = now.Add(30 * time.Millisecond)
+		if i%2 == 0 {
+			b.Failed(now, false)
+		} else {
+			b.Answered(now)
+		}
+	}
+	g.Expect(b.View(now).ErrorShare).To(BeNumerically("~", 0.5, 0.06))
+	g.Expect(b.View(now.Add(30 * time.Second)).ErrorShare).To(BeNumerically("<", 0.01))
+}
+
+func TestOwnLoadIsCounted(t *testing.T) {
+	g := NewWithT(t)
+	b, now := &Backend{}, time.Unix(0, 0)
+	b.Begin(100)
+	b.Begin(50)
+	b.FirstToken(100)
+	b.Report(Load{Running: 3, Slots: 8})
+	v := b.View(now)
+	g.Expect(v.Running).To(Equal(2))
+	g.Expect(v.Unread).To(BeEquivalentTo(50))
+	g.Expect(v.Load.Running).To(Equal(3))
+	b.End()
+	g.Expect(b.View(now).Running).To(Equal(1))
+}
--- /dev/null
+++ b/internal/standin/platformstore/store.go
@@ -0,0 +1,241 @@
+// Package platformstore is a stand-in for the platform's metadata store: keyed
+// topics with one partition, read by offset or by the newest record of each
+// key. Tests write to it as the operator and the backend servers do, and make it
+// fail.
+package platformstore
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Topics of the operator and of the backend servers.
+const (
+	TopicOperator = "keyed.op"
+	TopicServers  = "keyed.servers"
+)
+
+// Mode says how the store answers.
+type Mode int
+
+// The modes.
+const (
+	Up     Mode = iota
+	Busy        // 503 at once
+	Silent      // no answer until the caller gives up
+)
+
+type record struct {
+	key   string
+	value []byte
+}
+
+type topic struct {
+	first   int64
+	records []record
+	newest  map[string]newest
+}
+
+type newest struct {
+	value  []byte
+	offset int64
+}
+
+// Store is the stand-in. It is safe for concurrent use.
+type Store struct {
+	*httptest.Server
+
+	mu      sync.Mutex
+	topics  map[string]*topic
+	mode    Mode
+	changed chan struct{} // closed and replaced at each change
+	reads   int
+	// PageSize is the number of records on a page of the newest ones.
+	PageSize int
+}
+
+// Start returns a running store without records. Close ends it.
+func Start() *Store {
+	s := &Store{topics: map[string]*topic{}, changed: make(chan struct{}), PageSize: 500}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /merlinpost/log-read", s.read)
+	mux.HandleFunc("GET /merlinpost/log-newest", s.newest)
+	s.Server = httptest.NewServer(mux)
+	return s
+}
+
+// Address returns the IP:PORT of the store.
+func (s *Store) Address() string { return s.Listener.Addr().String() }
+
+// SetMode changes how the store answers.
+func (s *Store) SetMode(m Mode) {
+	s.mu.Lock()
+	s.mode = m
+	s.wake()
+	s.mu.Unlock()
+}
+
+// Reads returns the number of calls so far.
+func (s *Store) Reads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: map[string]newest{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// Put appends a record; a nil value drops the key.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	offset := t.first + int64(len(t.records))
+	t.records = append(t.records, record{key, value})
+	if value == nil {
+		delete(t.newest, key)
+	} else {
+		t.newest[key] = newest{value, offset}
+	}
+	s.wake()
+}
+
+// PutJSON appends a record whose value is v as JSON.
+func (s *Store) PutJSON(name, key string, v any) {
+	value, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // a test's own value
+	}
+	s.Put(name, key, value)
+}
+
+// Forget deletes the records of a topic; the newest of each key stays.
+func (s *Store) Forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first += int64(len(t.records))
+	t.records = nil
+	s.wake()
+}
+
+// admit applies the mode; false when the call has been answered.
+func (s *Store) admit(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	s.reads++
+	mode := s.mode
+	s.mu.Unlock()
+	switch mode {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	case Silent:
+		<-r.Context().Done()
+		return false
+	}
+	return true
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	query := r.URL.Query()
+	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(query.Get("wait_ms")) // none is 0
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for waiting := true; ; {
+		s.mu.Lock()
+		t := s.topic(query.Get("topic"))
+		changed, end := s.changed, t.first+int64(len(t.records))
+		switch {
+		case from < t.first:
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		case from < end || !waiting:
+			body := frames(end, t.first, t.records[min(from-t.first, int64(len(t.records))):])
+			s.mu.Unlock()
+			_, _ = w.Write(body)
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timer.C:
+			waiting = false
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func frames(end, first int64, records []record) []byte {
+	out := binary.BigEndian.AppendUint64(nil, uint64(end))
+	out = binary.BigEndian.AppendUint64(out, uint64(first))
+	for _, r := range records {
+		out = binary.BigEndian.AppendUint32(out, uint32(1+len(r.key)+len(r.value)))
+		out = append(out, byte(len(r.key)))
+		out = append(out, r.key...)
+		out = append(out, r.value...)
+	}
+	return out
+}
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	page := struct {
+		Items []item `json:"items"`
+		More  bool   `json:"has_more"`
+		End   int64  `json:"end_offset"`
+	}{Items: []item{}}
+	s.mu.Lock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	page.End = t.first + int64(len(t.records))
+	keys := make([]string, 0, len(t.newest))
+	for key := range t.newest {
+		if key > r.URL.Query().Get("after") {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	if len(keys) > s.PageSize {
+		keys, page.More = keys[:s.PageSize], true
+	}
+	for _, key := range keys {
+		n := t.newest[key]
+		page.Items = append(page.Items, item{key, base64.StdEncoding.EncodeToString(n.value), n.offset})
+	}
+	s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(page) // a caller that has left needs no page
+}
--- /dev/null
+++ b/internal/standin/worker/worker.go
@@ -0,0 +1,304 @@
+// Package worker is a stand-in for a worker of the platform: one HTTP/1.1
+// backend server that proves its answers, refuses requests meant for another
+// start, and misbehaves as it is told. It writes its answers byte by byte, so
+// that broken ones can be given too.
+package worker
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Run is one request that the worker has begun to work on.
+type Run struct {
+	ID     string
+	Method string
+	Target string
+	Body   string
+	Header http.Header
+	// From is the number of the first event of a stream.
+	From int
+}
+
+// Behaviour says what the worker does with the next requests.
+type Behaviour struct {
+	// Refuse answers 503 without having run the request.
+	Refuse bool
+	// Status is the status of the answer; 0 is 200.
+	Status int
+	// Events is the number of events of a stream; 0 gives a plain answer.
+	Events int
+	// BreakAfter ends the connection in the middle of the event behind so many;
+	// -1 never.
+	BreakAfter int
+	// Hang gives no answer until the caller leaves.
+	Hang bool
+	// Drop closes the connection without an answer.
+	Drop bool
+	// Unframed answers have no length and end with the connection.
+	Unframed bool
+	// ExtraBefore sends an answer to another request first.
+	ExtraBefore bool
+	// NoSeal leaves out the proof.
+	NoSeal bool
+	// Early answers 413 before the body is read, and reads it then.
+	Early bool
+	// Pace is the pause between events.
+	Pace time.Duration
+}
+
+// Worker is the stand-in. It is safe for concurrent use.
+type Worker struct {
+	ID       string
+	listener net.Listener
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	once      []Behaviour // for the next requests, before behaviour
+	runs      []Run
+	left      int // callers that closed their connection while a request ran
+	conns     map[net.Conn]bool
+	opened    int
+	asked     int // requests that have come, refused ones too
+}
+
+// Start returns a running worker that gives plain answers. Close ends it.
+func Start(id string) (*Worker, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w := &Worker{ID: id, listener: l, behaviour: Behaviour{BreakAfter: -1}, conns: map[net.Conn]bool{}}
+	go w.accept()
+	return w, nil
+}
+
+// Address returns the IP:PORT of the worker.
+func (w *Worker) Address() string { return w.listener.Addr().String() }
+
+// Close ends the worker and its connections.
+func (w *Worker) Close() {
+	_ = w.listener.Close()
+	w.CloseConnections()
+}
+
+// CloseConnections ends the open connections.
+func (w *Worker) CloseConnections() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		_ = c.Close()
+	}
+}
+
+// Behave sets what the worker does from now on.
+func (w *Worker) Behave(b Behaviour) {
+	w.mu.Lock()
+	w.behaviour = b
+	w.mu.Unlock()
+}
+
+// Next sets what the worker does with the next request only.
+func (w *Worker) Next(b ...Behaviour) {
+	w.mu.Lock()
+	w.once = append(w.once, b...)
+	w.mu.Unlock()
+}
+
+// Runs returns what has run so far.
+func (w *Worker) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Run(nil), w.runs...)
+}
+
+// Left returns how many callers left while their request ran.
+func (w *Worker) Left() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.left
+}
+
+// Opened returns the number of connections so far.
+func (w *Worker) Opened() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.opened
+}
+
+// Asked returns how many requests have come, refused ones included.
+func (w *Worker) Asked() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.asked
+}
+
+func (w *Worker) accept() {
+	for {
+		c, err := w.listener.Accept()
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.conns[c] = true
+		w.opened++
+		w.mu.Unlock()
+		go w.serve(c)
+	}
+}
+
+func (w *Worker) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		w.mu.Lock()
+		delete(w.conns, c)
+		w.mu.Unlock()
+	}()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if !w.answer(c, r, req) {
+			return
+		}
+	}
+}
+
+func (w *Worker) next() Behaviour {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asked++
+	if len(w.once) > 0 {
+		b := w.once[0]
+		w.once = w.once[1:]
+		return b
+	}
+	return w.behaviour
+}
+
+// answer serves one request; false ends the connection.
+func (w *Worker) answer(c net.Conn, r *bufio.Reader, req *http.Request) bool {
+	id := req.Header.Get("X-Attempt-Id")
+	if expect := req.Header.Get("X-Expect-Instance"); expect != "" && expect != w.ID {
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return false
+		}
+		return w.plain(c, id, http.StatusMisdirectedRequest, "X-Instance-Id: "+w.ID+"\r\n", "")
+	}
+	b := w.next()
+	if b.Early {
+		ok := w.plain(c, id, http.StatusRequestEntityTooLarge, w.seal(id), "too long")
+		_, err := io.Copy(io.Discard, req.Body)
+		return ok && err == nil
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return false
+	}
+	if b.Refuse {
+		return w.plain(c, id, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\n", "")
+	}
+	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // none is 0
+	w.mu.Lock()
+	w.runs = append(w.runs, Run{ID: id, Method: req.Method, Target: req.RequestURI, Body: string(body), Header: req.Header, From: from})
+	w.mu.Unlock()
+	switch {
+	case b.Drop:
+		return false
+	case b.Hang:
+		w.hang(r)
+		return false
+	}
+	if b.ExtraBefore && !w.plain(c, "foreign", http.StatusOK, w.seal("foreign"), "for somebody else") {
+		return false
+	}
+	if b.Events > 0 {
+		return w.stream(c, r, id, from, b)
+	}
+	seal := w.seal(id)
+	if b.NoSeal {
+		seal = ""
+	}
+	status := b.Status
+	if status == 0 {
+		status = http.StatusOK
+	}
+	if b.Unframed {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d OK\r\nX-Attempt-Id: %s\r\n%sConnection: close\r\n\r\n%s", status, id, seal, Answer(id))
+		return false
+	}
+	return w.plain(c, id, status, seal, Answer(id))
+}
+
+// Answer is the body of the plain answer to a request.
+func Answer(id string) string { return "answer to " + id }
+
+// Event is an event of a stream.
+func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s part %d\n\n", n, id, n) }
+
+// Stream is a whole stream of n events.
+func Stream(id string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString(Event(id, i))
+	}
+	return b.String()
+}
+
+func (w *Worker) seal(id string) string {
+	return fmt.Sprintf("X-Response-Seal: %s.%s\r\nX-Server-Load: 1,0,8\r\n", w.ID, id)
+}
+
+func (w *Worker) plain(c net.Conn, id string, status int, headers, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), id, headers, len(body), body)
+	return err == nil
+}
+
+// hang waits until the caller leaves.
+func (w *Worker) hang(r *bufio.Reader) {
+	_, _ = r.Peek(1)
+	w.mu.Lock()
+	w.left++
+	w.mu.Unlock()
+}
+
+func (w *Worker) stream(c net.Conn, r *bufio.Reader, id string, from int, b Behaviour) bool {
+	gone := make(chan struct{})
+	if b.Pace > 0 {
+		go func() { w.hang(r); close(gone) }()
+	}
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		id, w.seal(id)); err != nil {
+		return false
+	}
+	for n := from + 1; n <= b.Events; n++ {
+		event := Event(id, n)
+		if b.BreakAfter >= 0 && n > b.BreakAfter {
+			half := event[:len(event)/2]
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(half), half)
+			return false
+		}
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+		if b.Pace > 0 {
+			select {
+			case <-gone:
+				return false
+			case <-time.After(b.Pace):
+			}
+		}
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil && b.Pace == 0
+}
