Ask the agent beside an engine before a long prompt is sent

Change: internal/permit: a queue beside each engine grants long prompts one by one, by rank, then what can still be on time; refuses at once with the time to come back. Gateways ask by datagram and send to the engine themselves.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/merlinpost/merlinpost/internal/decisionlog"
 	"github.com/merlinpost/merlinpost/internal/gateway"
+	"github.com/merlinpost/merlinpost/internal/permit"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/platform"
 )
@@ -21,25 +22,35 @@
 // works harder; the rest is for what it does not see, such as socket buffers.
 const memoryShare = 0.7
 
+func limitMemory(megabytes float64) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * megabytes * (1 << 20)))
+	}
+}
+
 func (c *gatewayCmd) run(ctx context.Context, _ io.Writer) error {
 	set, err := platform.ReadSettings()
 	if err != nil {
 		return err
 	}
-	if set.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * set.MemoryMB * (1 << 20)))
-	}
+	limitMemory(set.MemoryMB)
 	lines := decisionlog.NewWriter(os.Stdout)
 	defer lines.Close()
 	logger := decisionlog.NewLogger(lines)
 	own := platform.Own{MetricsPort: c.MetricsPort, LogOneIn: c.LogOneIn}
 	servers := registry.New()
 	g := gateway.New(set.Gateway(own), platform.Dialect{}, servers, logger)
+	permits, err := permit.Open(set.Permits())
+	if err != nil {
+		return err
+	}
+	g.UsePermits(permits, set.InternalPort)
 	ctx, stop := stopSignals(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	follower := platform.NewFollower(set, g, servers, logger)
 	go follower.Run(ctx)
+	go permits.Run(ctx)
 	go platform.WatchSettings(ctx, set, logger, func(s platform.Settings) {
 		follower.SetSettings(s)
 		g.SetSettings(s.Gateway(own))
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -73,11 +73,11 @@
 }
 
 // broken logs an answer that could not be completed.
-func (g *Gateway) broken(q *request, err error) {
+func (g *Gateway) broken(q *request, rel *relay, err error) {
 	e := fault.From(err)
 	telemetry.Count("merlinpost_gateway_failures_total", "code", string(e.Code), "outcome", string(fault.Partial))
 	g.logger.Warn("answer broken off", append(g.fields(q),
-		slog.String("code", string(e.Code)), slog.String("cause", e.Message))...)
+		slog.Int("events", rel.events), slog.Duration("first", rel.first), slog.String("code", string(e.Code)), slog.String("cause", e.Message))...)
 }
 
 // finished logs a request that was answered; successes are sampled.
@@ -87,7 +87,7 @@
 		return
 	}
 	g.logger.Info("request answered", append(g.fields(q),
-		slog.Int("status", rel.status), slog.Int("events", rel.events))...)
+		slog.Int("status", rel.status), slog.Int("events", rel.events), slog.Duration("first", rel.first))...)
 }
 
 // fields are what decided about a request, with the age of what was known.
@@ -101,7 +101,8 @@
 	if q.route != nil {
 		out = append(out, slog.String("route", q.route.Name), slog.String("service", q.service),
 			slog.String("team", q.teamName()), slog.Int("priority", q.priority),
-			slog.Duration("deadline", q.deadline.Sub(q.start)), slog.Int("prompt", q.call.Prompt.Tokens))
+			slog.Duration("deadline", q.deadline.Sub(q.start)), slog.Int("prompt", q.call.Prompt.Tokens),
+			slog.Float64("share", q.share))
 	}
 	return append(out, slog.Any("sends", q.sends))
 }
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/exchange"
@@ -38,7 +39,8 @@
 // time is over. A nil error means that the caller has its answer.
 func (g *Gateway) run(ctx context.Context, q *request, rel *relay) error {
 	tried := map[string]bool{}
-	ran := 0 // servers that may have run the request
+	ran := 0      // servers that may have run the request
+	refusals := 0 // agents that gave no leave to send it
 	var last error
 	for try := 0; ; try++ {
 		if err := g.maySend(ctx, q, rel, try, ran, last); err != nil {
@@ -50,7 +52,16 @@
 				With(fault.NotRun).After(noServerRetryAfter))
 		}
 		tried[choice.Candidate.Server.ID] = true
-		result, err := g.sendTo(ctx, q, choice, rel)
+		leave, err := g.permit(ctx, q, choice)
+		if err != nil {
+			last = soonest(last, err)
+			g.logRefusal(q, choice, err)
+			if refusals++; refusals >= maxRefusals {
+				return last
+			}
+			continue
+		}
+		result, err := g.sendTo(ctx, q, choice, leave, rel)
 		switch result {
 		case delivered:
 			return nil
@@ -89,7 +100,7 @@
 	if ran >= q.route.MaxAttempts || try >= maxSends {
 		return last
 	}
-	if fault.Is(last, fault.NoLink) {
+	if fault.Is(last, fault.NoLink) || fault.Is(last, fault.WaitTooLong) {
 		return nil // nothing reached a server: no repeat
 	}
 	if !g.budget(q.service).Take(g.now()) {
@@ -98,6 +109,14 @@
 	return nil
 }
 
+// soonest returns the refusal after which it is worth coming back first.
+func soonest(a, b error) error {
+	if !fault.Is(a, fault.WaitTooLong) || fault.From(b).RetryAfter < fault.From(a).RetryAfter {
+		return b
+	}
+	return a
+}
+
 func firstOf(err error, other *fault.Error) error {
 	if err != nil {
 		return err
@@ -128,21 +147,22 @@
 	req := placement.Request{Prompt: q.call.Prompt, Interactive: q.interactive(),
 		FailureDomain: g.settings.Load().FailureDomain, Draw: g.draw()}
 	if q.route.PrefixAffinity {
-		return placement.Engine(req, candidates, g.demand(q.service).Share(now))
+		q.share = g.demand(q.service).Share(now)
+		return placement.Engine(req, candidates, q.share)
 	}
 	return placement.Plain(req, candidates)
 }
 
 // sendTo sends the request to the chosen server and relays what it answers.
-func (g *Gateway) sendTo(ctx context.Context, q *request, choice placement.Choice, rel *relay) (outcome, error) {
+func (g *Gateway) sendTo(ctx context.Context, q *request, choice placement.Choice, leave *held, rel *relay) (outcome, error) {
 	b := choice.Candidate.Backend
 	server := choice.Candidate.Server
 	sentAt := g.now()
 	_, shared := q.call.Prompt.Shared()
 	unread := q.call.Prompt.Tokens - shared
 	b.Begin(unread)
-	firstToken := func() { b.FirstToken(unread); unread = 0 }
-	defer func() { firstToken(); b.End() }()
+	firstToken := sync.OnceFunc(func() { b.FirstToken(unread); leave.firstToken() })
+	defer func() { firstToken(); b.End(); leave.end() }()
 
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -170,6 +190,12 @@
 	return result, err
 }
 
+// logRefusal keeps an agent's refusal with the request's sends.
+func (g *Gateway) logRefusal(q *request, choice placement.Choice, err error) {
+	q.sends = append(q.sends, send{Server: choice.Candidate.Server.ID, Reason: choice.Reason, Result: "refused",
+		Cause: err.Error(), At: g.now().Sub(q.start)})
+}
+
 // failedExchange types an exchange that gave no answer.
 func (g *Gateway) failedExchange(ctx context.Context, b *registry.Backend, err error) (outcome, error) {
 	if ctx.Err() == nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/merlinpost/merlinpost/internal/exchange"
 	"github.com/merlinpost/merlinpost/internal/fault"
@@ -18,6 +19,7 @@
 	started bool // the head has been sent
 	status  int
 	events  int
+	first   time.Duration // from the request's start to its first event, 0 before
 	lastID  int64
 	hasID   bool
 }
@@ -117,6 +119,9 @@
 			if !rel.accept(event) {
 				continue
 			}
+			if rel.first == 0 {
+				rel.first = g.now().Sub(q.start)
+			}
 			firstToken()
 			if !rel.started {
 				rel.head(resp)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -42,6 +42,7 @@
 	deadline time.Time // when the caller or the route gives up
 	priority int
 	sends    []send
+	share    float64 // part of the engines that interactive requests have
 }
 
 // send is one try to have the request run.
@@ -145,7 +146,7 @@
 	case err == nil:
 		g.finished(q, rel)
 	case rel.started:
-		g.broken(q, err)
+		g.broken(q, rel, err)
 		// The only way to tell the caller that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	default:
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,6 +5,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/rendezvous"
 )
@@ -62,10 +64,16 @@
 	// FetchFrom is the address of a server that holds shared parts which the
 	// chosen one may lack; empty for none.
 	FetchFrom string
-	// Reason says why: home, spread, or least.
-	Reason string
+	Reason    string // Home, Spread or Least
 }
 
+// The reasons of a choice.
+const (
+	Home   = "home"   // the server holds the prompt's shared parts
+	Spread = "spread" // the home is too loaded, another is least loaded
+	Least  = "least"  // the prompt shares nothing
+)
+
 const (
 	// tokensPerMs is about what an engine reads of prompts. It only weighs
 	// unread prompts against running requests, so that its exact value matters
@@ -113,13 +121,13 @@
 	}
 	shared, tokens := req.Prompt.Shared()
 	if shared == "" {
-		return Choice{Candidate: best, Reason: "least"}
+		return Choice{Candidate: best, Reason: Least}
 	}
 	home := homeOf(shared, part)
 	if cost(home, req) <= cost(best, req)+homeSlackMs {
-		return Choice{Candidate: home, Reason: "home"}
+		return Choice{Candidate: home, Reason: Home}
 	}
-	c := Choice{Candidate: best, Reason: "spread"}
+	c := Choice{Candidate: best, Reason: Spread}
 	if tokens >= minFetch && !home.View.Avoided {
 		c.FetchFrom = home.Server.Address
 	}
@@ -131,7 +139,7 @@
 	if len(candidates) == 0 {
 		return Choice{}
 	}
-	return Choice{Candidate: least(all(candidates), req), Reason: "least"}
+	return Choice{Candidate: least(all(candidates), req), Reason: Least}
 }
 
 // saturated servers have no free slot or requests that wait for one.
@@ -210,7 +218,8 @@
 // this gateway can tell.
 func cost(c *Candidate, req Request) float64 {
 	v := c.View
-	ms := float64(v.Unread)/tokensPerMs + runningMs*float64(v.Running) + errorWeightMs*v.ErrorShare
+	reading := max(float64(v.Unread)/tokensPerMs, float64(v.Wait)/float64(time.Millisecond))
+	ms := reading + runningMs*float64(v.Running) + errorWeightMs*v.ErrorShare
 	if c.Server.FailureDomain != req.FailureDomain {
 		ms += remoteMs
 	}
--- a/internal/registry/backend.go
+++ b/internal/registry/backend.go
@@ -15,6 +15,7 @@
 	running  int   // own requests in progress
 	tokens   int64 // prompt tokens of own requests that wait for their first token
 	reported Load
+	queue    Queue
 	failures int // failures in a row
 	avoid    time.Time
 	errors   rate
@@ -26,6 +27,23 @@
 	At                      time.Time // zero: nothing was said yet
 }
 
+// Queue is what the agent beside a backend server says of its work.
+type Queue struct {
+	Backlog         int // prompt tokens that are granted or queued and not read
+	TokensPerSecond int
+	At              time.Time
+}
+
+// Wait returns how long the backlog takes from now on. It is taken to have been
+// worked off since it was told.
+func (q Queue) Wait(now time.Time) time.Duration {
+	if q.TokensPerSecond == 0 {
+		return 0
+	}
+	whole := time.Duration(float64(q.Backlog) / float64(q.TokensPerSecond) * float64(time.Second))
+	return max(0, whole-now.Sub(q.At))
+}
+
 // server returns the entry.
 func (b *Backend) server() *Server { return b.entry.Load() }
 
@@ -62,6 +80,13 @@
 	b.mu.Unlock()
 }
 
+// Queue takes in what the agent beside the backend server said.
+func (b *Backend) Queue(q Queue) {
+	b.mu.Lock()
+	b.queue = q
+	b.mu.Unlock()
+}
+
 const (
 	// firstAvoidance is how long a backend server that could not be reached is
 	// passed over after its first failure in a row; each further one doubles it.
@@ -105,6 +130,8 @@
 	Running int   // own requests in progress
 	Unread  int64 // prompt tokens of own requests before their first token
 	Load    Load
+	// Wait is the agent's backlog as it is expected to be by now.
+	Wait time.Duration
 	// Avoided servers could not be reached lately.
 	Avoided bool
 	// ErrorShare is the share of recent requests that failed, 0 to 1.
@@ -115,7 +142,7 @@
 func (b *Backend) View(now time.Time) View {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return View{Running: b.running, Unread: b.tokens, Load: b.reported,
+	return View{Running: b.running, Unread: b.tokens, Load: b.reported, Wait: b.queue.Wait(now),
 		Avoided: now.Before(b.avoid), ErrorShare: b.errors.share(now)}
 }
 
