Let gateways decide permits for each other; read the store once for all

Ruled out: keeping the agent for its fresh reports (memory in use 63,000 of 579,000 tokens: not what binds). Change: internal/peers: gateways know each other from the store and heartbeats; the home of an engine, a gateway, gives leave; the first in the order of a topic reads it and tells the others its state, who read when it differs or was not confirmed in time. The agent's role on the platform is gone.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -137,6 +137,3 @@
 	}()
 	return ctx, stop
 }
-
-// ignoreHangup keeps SIGHUP from ending a process that has nothing to reload.
-func ignoreHangup() { signal.Ignore(syscall.SIGHUP) }
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -8,7 +8,7 @@
 
 	"github.com/merlinpost/merlinpost/internal/decisionlog"
 	"github.com/merlinpost/merlinpost/internal/gateway"
-	"github.com/merlinpost/merlinpost/internal/permit"
+	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/platform"
 )
@@ -40,20 +40,24 @@
 	own := platform.Own{MetricsPort: c.MetricsPort, LogOneIn: c.LogOneIn}
 	servers := registry.New()
 	g := gateway.New(set.Gateway(own), platform.Dialect{}, servers, logger)
-	permits, err := permit.Open(set.Permits())
+	others, err := peers.Open(set.Host, set.Peers(), logger)
 	if err != nil {
 		return err
 	}
-	g.UsePermits(permits, set.InternalPort)
+	g.UsePermits(others)
 	ctx, stop := stopSignals(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	follower := platform.NewFollower(set, g, servers, logger)
+	follower := platform.NewFollower(set, g, servers, others, logger)
 	go follower.Run(ctx)
-	go permits.Run(ctx)
+	go others.Run(ctx)
 	go platform.WatchSettings(ctx, set, logger, func(s platform.Settings) {
 		follower.SetSettings(s)
 		g.SetSettings(s.Gateway(own))
 	})
+	go func() {
+		<-stop
+		others.Leave()
+	}()
 	return g.Serve(ctx, stop)
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -9,7 +9,6 @@
 	"github.com/merlinpost/merlinpost/internal/agent"
 	"github.com/merlinpost/merlinpost/internal/assembly"
 	"github.com/merlinpost/merlinpost/internal/dev"
-	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/resource"
 	"github.com/merlinpost/merlinpost/internal/settings"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
@@ -33,8 +32,7 @@
 }
 
 type agentCmd struct {
-	Config   string `arg:"--config" help:"settings file (TOML)"`
-	Permits  bool   `arg:"--permits" help:"on the platform: only tell gateways when to send long prompts; needs no settings file"`
+	Config   string `arg:"--config,required" help:"settings file (TOML)"`
 	Validate bool   `arg:"--validate" help:"check the settings and exit"`
 }
 
@@ -44,12 +42,6 @@
 }
 
 func (c *agentCmd) run(ctx context.Context, out io.Writer) error {
-	switch {
-	case c.Permits:
-		return runPermits(ctx)
-	case c.Config == "":
-		return fault.New(fault.BadSettings, "a settings file is needed").InField("--config")
-	}
 	set := settings.DefaultAgent()
 	if err := settings.ReadFile(c.Config, &set); err != nil {
 		return err
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -9,6 +9,7 @@
 
 	"github.com/merlinpost/merlinpost/internal/exchange"
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/placement"
 	"github.com/merlinpost/merlinpost/internal/registry"
 )
@@ -129,7 +130,7 @@
 }
 
 // choose picks the backend server for the next send and gets leave to send it.
-func (g *Gateway) choose(ctx context.Context, q *request, tried map[string]bool, resumed bool) (placement.Choice, *held, error) {
+func (g *Gateway) choose(ctx context.Context, q *request, tried map[string]bool, resumed bool) (placement.Choice, peers.Leave, error) {
 	now := g.now()
 	backends := g.servers.Ready(q.service)
 	candidates := make([]placement.Candidate, len(backends))
@@ -152,21 +153,21 @@
 		c = placement.Plain(req, candidates)
 	}
 	if c.Candidate == nil {
-		return c, nil, g.noServer(q)
+		return c, peers.Leave{}, g.noServer(q)
 	}
-	return c, &held{}, nil
+	return c, peers.Leave{}, nil
 }
 
 // sendTo sends the request to the chosen server and relays what it answers.
-func (g *Gateway) sendTo(ctx context.Context, q *request, choice placement.Choice, leave *held, rel *relay) (outcome, error) {
+func (g *Gateway) sendTo(ctx context.Context, q *request, choice placement.Choice, leave peers.Leave, rel *relay) (outcome, error) {
 	b := choice.Candidate.Backend
 	server := choice.Candidate.Server
 	sentAt := g.now()
 	_, shared := q.call.Prompt.Shared()
 	unread := q.call.Prompt.Tokens - shared
 	b.Begin(unread)
-	read := sync.OnceFunc(func() { b.FirstToken(unread); leave.firstToken() })
-	defer func() { read(); b.End(); leave.end() }()
+	read := sync.OnceFunc(func() { b.FirstToken(unread); leave.FirstToken() })
+	defer func() { read(); b.End(); leave.End() }()
 	firstToken := func() {
 		read()
 		g.watchLateness(q)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,15 +46,14 @@
 	now      func() time.Time
 	draw     func() float64
 
-	table      atomic.Pointer[routing.Table]
-	tableTime  atomic.Pointer[time.Time]
-	servers    *registry.Registry
-	pool       *exchange.Pool
-	stopping   atomic.Bool
-	inFlight   atomic.Int64
-	permits    Permits // nil: no agents are asked
-	permitPort uint16
-	bodies     atomic.Int64 // bytes of bodies in progress
+	table     atomic.Pointer[routing.Table]
+	tableTime atomic.Pointer[time.Time]
+	servers   *registry.Registry
+	pool      *exchange.Pool
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
+	permits   Permits      // nil: no leave is asked for
+	bodies    atomic.Int64 // bytes of bodies in progress
 
 	mu      sync.Mutex
 	budgets map[string]*retrybudget.Budget // by service
--- /dev/null
+++ b/internal/peers/beats.go
@@ -0,0 +1,86 @@
+package peers
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/telemetry"
+)
+
+// newsBeat is the pause between heartbeats of a gateway that reads the store for
+// the others. It repeats what a lost datagram did not bring.
+const newsBeat = 400 * time.Millisecond
+
+// heard takes in a heartbeat.
+func (p *Peers) heard(b beat, from netip.AddrPort, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members.beat(Member{b.Host, from}, b.Leaving, now)
+	for _, f := range b.Findings {
+		p.findings.hear(f, now)
+	}
+}
+
+// beatIfDue sends a heartbeat when one is due, and logs when the number of live
+// gateways has changed.
+func (p *Peers) beatIfDue(now time.Time) {
+	p.mu.Lock()
+	every := p.members.beatEvery()
+	own := p.findings.own(now)
+	if len(own) > 0 {
+		every = newsBeat
+	}
+	due := now.Sub(p.lastBeat) >= every || p.findings.news
+	if due {
+		p.lastBeat = now
+		p.findings.news = false
+	}
+	live := len(p.members.live(now))
+	changed := live != p.lastLive
+	p.lastLive = live
+	p.mu.Unlock()
+	if changed {
+		telemetry.Gauge("merlinpost_gateways_live", float64(live))
+		p.logger.Info("live gateways changed", "live", live)
+	}
+	if due {
+		p.beat(own)
+	}
+}
+
+// beat sends a heartbeat to all known members.
+func (p *Peers) beat(own []finding) {
+	p.mu.Lock()
+	b := beat{Host: p.members.self.Host, Leaving: p.leaving, Findings: own}
+	to := make([]netip.AddrPort, 0, len(p.members.known))
+	for _, member := range p.members.known {
+		to = append(to, member.Address)
+	}
+	p.mu.Unlock()
+	for _, address := range to {
+		p.send(datagram{Beat: &b}, address)
+	}
+}
+
+// Leave tells the others that this gateway is about to end.
+func (p *Peers) Leave() {
+	p.mu.Lock()
+	p.leaving = true
+	p.mu.Unlock()
+	p.beat(nil)
+}
+
+// List takes in the gateways that the store lists.
+func (p *Peers) List(all []Member) {
+	p.mu.Lock()
+	p.members.list(all)
+	p.mu.Unlock()
+	p.beat(nil) // the new ones learn of this one
+}
+
+// Rank returns the place of this gateway among the live ones for a key, 0 first.
+func (p *Peers) Rank(key string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.rank(key, time.Now())
+}
--- /dev/null
+++ b/internal/peers/members.go
@@ -0,0 +1,121 @@
+package peers
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/rendezvous"
+)
+
+// Member is a gateway.
+type Member struct {
+	Host    string
+	Address netip.AddrPort
+}
+
+const (
+	// shortestBeat is the pause between two heartbeats of a gateway among few.
+	shortestBeat = time.Second
+	// beatPerMember stretches it, so that the heartbeats of many gateways stay
+	// inside the bytes that a host may spend: at 390 members one in 19.5 s to each,
+	// 20 datagrams of some 90 bytes a second.
+	beatPerMember = 50 * time.Millisecond
+	// missedBeats is how many heartbeats may be missing before a member counts as
+	// down.
+	missedBeats = 3
+	// downFor is how long a member that gave no answer counts as down unless it is
+	// heard again.
+	downFor = 3 * time.Second
+)
+
+// members is the list of gateways as this one sees it. It is not safe for
+// concurrent use.
+type members struct {
+	self  Member
+	start time.Time
+	known map[string]*presence // by host, without self
+}
+
+// presence is what is known of another gateway.
+type presence struct {
+	Member
+	heard     time.Time // zero: never
+	downUntil time.Time
+	leaving   bool
+}
+
+func newMembers(self Member, now time.Time) *members {
+	return &members{self: self, start: now, known: map[string]*presence{}}
+}
+
+// beatEvery is the pause between two heartbeats to each member.
+func (m *members) beatEvery() time.Duration {
+	return max(shortestBeat, time.Duration(len(m.known))*beatPerMember)
+}
+
+// list takes in members from the store. It is not a word that they are up.
+func (m *members) list(all []Member) {
+	for _, member := range all {
+		if member.Host != m.self.Host {
+			m.presence(member)
+		}
+	}
+}
+
+// presence returns what is kept of a member. A member that has moved to another
+// address is taken to have been heard at the new one only.
+func (m *members) presence(member Member) *presence {
+	p := m.known[member.Host]
+	if p == nil || p.Address != member.Address {
+		p = &presence{Member: member}
+		m.known[member.Host] = p
+	}
+	return p
+}
+
+// beat takes in a heartbeat.
+func (m *members) beat(member Member, leaving bool, now time.Time) {
+	if member.Host == m.self.Host {
+		return
+	}
+	p := m.presence(member)
+	p.heard, p.leaving, p.downUntil = now, leaving, time.Time{}
+}
+
+// silent records that a member gave no answer.
+func (m *members) silent(at netip.AddrPort, now time.Time) {
+	for _, p := range m.known {
+		if p.Address == at {
+			p.downUntil = now.Add(downFor)
+		}
+	}
+}
+
+// live returns the hosts that are up, this one included.
+func (m *members) live(now time.Time) []string {
+	hosts := []string{m.self.Host}
+	for host, p := range m.known {
+		if !p.heard.IsZero() && !p.leaving && now.After(p.downUntil) && now.Sub(p.heard) <= missedBeats*m.beatEvery() {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.SortFunc(hosts, strings.Compare)
+	return hosts
+}
+
+// home returns the live gateway that decides for a key.
+func (m *members) home(key string, now time.Time) Member {
+	first := rendezvous.First(key, m.live(now))
+	if p := m.known[first]; p != nil {
+		return p.Member
+	}
+	return m.self
+}
+
+// rank returns the place of this gateway in the order of the live ones for a
+// key, 0 first.
+func (m *members) rank(key string, now time.Time) int {
+	return slices.Index(rendezvous.Rank(key, m.live(now)), m.self.Host)
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,212 @@
+// Package peers joins the gateways of a deployment: which of them are up, who
+// decides for which engine when long prompts are read, and what each has learnt
+// from the platform's store, so that not all of them need to ask it. All of it is
+// carried in datagrams of one socket; what is lost is asked again or learnt from
+// the store, and nothing that callers are promised rests on it.
+package peers
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/permit"
+	"github.com/merlinpost/merlinpost/internal/telemetry"
+)
+
+const (
+	// busyTick is how often waiting asks are looked at without an event; idleTick
+	// is the same when none waits.
+	busyTick, idleTick = 20 * time.Millisecond, 100 * time.Millisecond
+	// ring is how many datagrams wait to be taken in.
+	ring = 1024
+	// maxDatagram is above any message, in bytes.
+	maxDatagram = 1200
+)
+
+// datagram is one message. Exactly one field is set.
+type datagram struct {
+	Beat       *beat          `msgpack:"b,omitempty"`
+	Ask        *ask           `msgpack:"a,omitempty"`
+	Answer     *permit.Answer `msgpack:"v,omitempty"`
+	FirstToken *notice        `msgpack:"f,omitempty"`
+	End        *notice        `msgpack:"e,omitempty"`
+}
+
+// beat is a heartbeat with what its sender has confirmed at the store.
+type beat struct {
+	Host     string
+	Leaving  bool
+	Findings []finding `msgpack:",omitempty"`
+}
+
+// ask is a request for leave to send to an engine.
+type ask struct {
+	Engine string
+	permit.Ask
+}
+
+// notice tells how far a request at an engine is.
+type notice struct{ Engine, ID string }
+
+// received is a datagram and its sender.
+type received struct {
+	datagram
+	from netip.AddrPort
+}
+
+// Peers is this gateway among the others. It is safe for concurrent use.
+type Peers struct {
+	conn   *net.UDPConn
+	self   netip.AddrPort
+	logger *slog.Logger
+	in     chan received
+	desk   *permit.Desk[netip.AddrPort] // of the goroutine in Run
+
+	mu       sync.Mutex
+	members  *members
+	findings findings
+	waiting  map[string]chan permit.Answer // by ID of the request
+	leaving  bool
+	lastBeat time.Time
+	lastLive int
+}
+
+// Open opens the socket of the gateway on host at an IP address and port.
+func Open(host, address string, logger *slog.Logger) (*Peers, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fault.New(fault.BadSettings, "%w", err).InField("peers.listen")
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, fault.New(fault.BadSettings, "%w", err).InField("peers.listen")
+	}
+	self := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return &Peers{conn: conn, self: self, logger: logger, in: make(chan received, ring), desk: permit.NewDesk[netip.AddrPort](),
+		members: newMembers(Member{host, self}, time.Now()), waiting: map[string]chan permit.Answer{}}, nil
+}
+
+// Self returns this gateway as a member.
+func (p *Peers) Self() Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.self
+}
+
+// Run takes part until ctx ends: one goroutine receives, this one decides.
+func (p *Peers) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() }) // ends the receiver
+	defer stop()
+	go p.receive(ctx)
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-p.in:
+			p.take(r, time.Now())
+		case <-timer.C:
+			next := idleTick
+			if p.desk.Waiting() > 0 {
+				next = busyTick
+			}
+			timer.Reset(next)
+		}
+		now := time.Now()
+		for _, due := range p.desk.Next(now) {
+			p.answer(due.Answer, due.To)
+		}
+		p.beatIfDue(now)
+	}
+}
+
+func (p *Peers) receive(ctx context.Context) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			continue // an earlier datagram met a closed port
+		}
+		var d datagram
+		if msgpack.Unmarshal(buf[:n], &d) != nil {
+			telemetry.Count("merlinpost_peer_datagrams_broken_total")
+			continue
+		}
+		p.post(received{d, from})
+	}
+}
+
+// post hands a datagram to Run; when too many wait it counts as lost.
+func (p *Peers) post(r received) {
+	select {
+	case p.in <- r:
+	default:
+		telemetry.Count("merlinpost_peer_datagrams_overrun_total")
+	}
+}
+
+// send sends a datagram; to this gateway itself it goes without the socket. One
+// that can't be sent counts as lost.
+func (p *Peers) send(d datagram, to netip.AddrPort) {
+	if to == p.self {
+		p.post(received{d, p.self})
+		return
+	}
+	data, err := msgpack.Marshal(d)
+	if err == nil {
+		_, err = p.conn.WriteToUDPAddrPort(data, to)
+	}
+	if err != nil {
+		telemetry.Count("merlinpost_peer_datagrams_unsent_total")
+	}
+}
+
+func (p *Peers) take(r received, now time.Time) {
+	switch {
+	case r.Beat != nil:
+		p.heard(*r.Beat, r.from, now)
+	case r.Ask != nil:
+		p.answer(p.desk.Ask(r.Ask.Engine, r.Ask.Ask, r.from, now), r.from)
+	case r.Answer != nil:
+		p.settle(*r.Answer)
+	case r.FirstToken != nil:
+		p.desk.FirstToken(r.FirstToken.Engine, r.FirstToken.ID, now)
+	case r.End != nil:
+		p.desk.End(r.End.Engine, r.End.ID)
+	}
+}
+
+// answer sends an answer and, for a refusal, writes its decision line.
+func (p *Peers) answer(a permit.Answer, to netip.AddrPort) {
+	telemetry.Count("merlinpost_permit_answers_total", "verdict", a.Verdict.String())
+	if to == p.self {
+		p.settle(a)
+		return
+	}
+	p.send(datagram{Answer: &a}, to)
+}
+
+// settle hands an answer to the request that waits for it.
+func (p *Peers) settle(a permit.Answer) {
+	p.mu.Lock()
+	ch := p.waiting[a.ID]
+	p.mu.Unlock()
+	if ch == nil {
+		return
+	}
+	select {
+	case ch <- a:
+	default: // the one before has not been taken yet; the asker asks again
+	}
+}
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -1,8 +1,7 @@
-// Package permit decides, beside a model engine, when a request with a long
-// prompt may be sent to it. Gateways ask the agent beside the engine and send
-// the request to the engine themselves once it is granted, so that an answer
-// never depends on the agent. Queue decides and has no clock and no network;
-// Server and Client carry its words in datagrams.
+// Package permit decides when a request with a long prompt may be sent to a model
+// engine. One gateway, the engine's home, decides for all; it only gives leave,
+// and the asker sends the request to the engine itself, so that no answer depends
+// on the home. There is no clock and no network here.
 //
 // It answers a load in which more prompts arrive than the engine reads. Left
 // alone the engine takes them all in, its memory fills, cached parts and running
@@ -21,8 +20,6 @@
 	Rank int
 	// Unread are the prompt tokens that the engine is expected to read.
 	Unread int
-	// Memory are the tokens that the run holds at its end.
-	Memory int
 	// Target is the time left in which a first token is on time.
 	Target time.Duration
 	// Limit is the time left after which a first token is of no use.
@@ -55,19 +52,10 @@
 	TokensPerSecond int
 }
 
-// Engine is what the engine reports of itself.
-type Engine struct {
-	MemoryUsed, MemoryTotal int // tokens
-	Waiting                 int // requests that have no slot or no first token yet
-}
-
 const (
 	// maxReading are the prompt tokens that the engine is given to read at once:
 	// a long prompt and the next, so that it never runs dry within a round trip.
 	maxReading = 14000
-	// memoryShare is the part of the engine's memory that runs may fill. The rest
-	// keeps shared parts of prompts, which are read again otherwise.
-	memoryShare = 0.8
 	// firstRate is the reading rate in tokens a ms that is assumed before it has
 	// been measured: chunks of 1,024 tokens in steps of 25 ms.
 	firstRate = 40.0
@@ -83,9 +71,6 @@
 	// lostAfter is how long a granted request may give no word before it counts as
 	// read: its gateway is gone, or the notice was lost.
 	lostAfter = 3 * time.Second
-	// spareWaiting are the requests at the engine beyond the granted ones that do
-	// not hold back a grant.
-	spareWaiting = 4
 	// shortestReturn and longestReturn bound what a refused caller is told.
 	shortestReturn, longestReturn = 500 * time.Millisecond, 5 * time.Second
 )
@@ -100,13 +85,10 @@
 
 // Queue decides for one engine. It is not safe for concurrent use.
 type Queue struct {
-	waiting []*entry
-	granted map[string]*entry
-	reading int     // unread tokens of granted requests
-	rate    float64 // tokens a ms
-	engine  Engine
-	// promised are the tokens of memory granted since the last report.
-	promised int
+	waiting  []*entry
+	granted  map[string]*entry
+	reading  int     // unread tokens of granted requests
+	rate     float64 // tokens a ms
 	lastRead time.Time
 }
 
@@ -164,17 +146,6 @@
 	}
 }
 
-// Report takes in what the engine says of itself.
-func (q *Queue) Report(e Engine) {
-	q.engine = e
-	q.promised = 0
-	for _, g := range q.granted {
-		if !g.read {
-			q.promised += g.ask.Memory
-		}
-	}
-}
-
 // Next returns what has become due: grants, and refusals of asks that can't be
 // served in time any more.
 func (q *Queue) Next(now time.Time) []Answer {
@@ -212,9 +183,6 @@
 // Idle reports whether nothing is waiting or being read.
 func (q *Queue) Idle() bool { return len(q.waiting) == 0 && len(q.granted) == 0 }
 
-// Waiting returns the number of asks that wait.
-func (q *Queue) Waiting() int { return len(q.waiting) }
-
 func (q *Queue) find(id string) int {
 	return slices.IndexFunc(q.waiting, func(e *entry) bool { return e.ask.ID == id })
 }
@@ -226,7 +194,6 @@
 		q.lastRead = now
 	}
 	q.reading += e.ask.Unread
-	q.promised += e.ask.Memory
 }
 
 // settle ends the reading of a granted request.
@@ -250,20 +217,7 @@
 
 // fits reports whether the engine can take the request now.
 func (q *Queue) fits(e *entry) bool {
-	if q.reading > 0 && q.reading+e.ask.Unread > maxReading {
-		return false
-	}
-	unread := 0
-	for _, g := range q.granted {
-		if !g.read {
-			unread++
-		}
-	}
-	if q.engine.Waiting > unread+spareWaiting {
-		return false
-	}
-	used := q.engine.MemoryUsed + q.promised
-	return used == 0 || q.engine.MemoryTotal == 0 || used+e.ask.Memory <= int(memoryShare*float64(q.engine.MemoryTotal))
+	return q.reading == 0 || q.reading+e.ask.Unread <= maxReading
 }
 
 // precedes is the order of waiting asks: rank; then those that can still be on
@@ -305,3 +259,16 @@
 	}
 	return Answer{ID: id, Verdict: v, Wait: wait, Backlog: backlog, TokensPerSecond: int(q.rate * 1000)}
 }
+
+// String returns the verdict's name.
+func (v Verdict) String() string {
+	switch v {
+	case Granted:
+		return "granted"
+	case Queued:
+		return "queued"
+	case Refused:
+		return "refused"
+	}
+	return "none"
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -145,7 +145,7 @@
 // Homes returns the servers that are to be asked in turn for a request that may
 // wait: its home, then those that stand in for it, always in the same order, so
 // that shared parts are read at few servers. What is known here of their load is
-// old and not looked at; the servers' agents know it.
+// old and not looked at: whoever gives leave knows it.
 func Homes(req Request, candidates []Candidate, share float64) []Choice {
 	part := usable(pick(candidates, share, req.Interactive))
 	if len(part) == 0 {
