Test permits and peers: one verdict an ask, agreed homes, lost notices

Found by the tests: asks of the same instant did not count as ahead of each other, so that a hundred were taken in at once; they are numbered now.

--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,195 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/merlinpost/merlinpost/internal/permit"
+)
+
+func TestPeers(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peers")
+}
+
+func at(port int) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port)) }
+
+func TestLiveGatewaysAreThoseHeardLately(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	m := newMembers(Member{"a", at(1)}, now)
+	m.list([]Member{{"a", at(1)}, {"b", at(2)}, {"c", at(3)}})
+	g.Expect(m.live(now)).To(Equal([]string{"a"}))
+	m.beat(Member{"b", at(2)}, false, now)
+	m.beat(Member{"c", at(3)}, false, now)
+	g.Expect(m.live(now)).To(Equal([]string{"a", "b", "c"}))
+	m.beat(Member{"c", at(3)}, true, now)
+	g.Expect(m.live(now)).To(Equal([]string{"a", "b"}))
+	m.silent(at(2), now)
+	g.Expect(m.live(now)).To(Equal([]string{"a"}))
+	m.beat(Member{"b", at(2)}, false, now.Add(time.Second))
+	g.Expect(m.live(now.Add(time.Second))).To(Equal([]string{"a", "b"}))
+	g.Expect(m.live(now.Add(10 * time.Second))).To(Equal([]string{"a"}))
+	m.beat(Member{"b", at(9)}, false, now) // replaced at another address
+	g.Expect(m.known["b"].Address).To(Equal(at(9)))
+}
+
+// Gateways that see the same others agree on the home of each engine, and the
+// loss of one moves only its own engines.
+func TestGatewaysAgreeOnHomes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "gateways")
+		now := time.Unix(0, 0)
+		var all []*members
+		for i := range n {
+			m := newMembers(Member{fmt.Sprint("gw", i), at(i + 1)}, now)
+			for j := range n {
+				m.beat(Member{fmt.Sprint("gw", j), at(j + 1)}, false, now)
+			}
+			all = append(all, m)
+		}
+		engine := rapid.String().Draw(t, "engine")
+		home := all[0].home(engine, now)
+		ranks := map[int]bool{}
+		for _, m := range all {
+			if m.home(engine, now) != home {
+				t.Fatal("gateways disagree")
+			}
+			ranks[m.rank(engine, now)] = true
+		}
+		if len(ranks) != n {
+			t.Fatalf("%d places for %d gateways", len(ranks), n)
+		}
+		lost := rapid.IntRange(0, n-1).Draw(t, "lost")
+		observer := all[(lost+1)%n]
+		observer.silent(at(lost+1), now)
+		if moved := observer.home(engine, now) != home; moved != (home.Address == at(lost+1)) {
+			t.Fatalf("the home moved: %v", moved)
+		}
+	})
+}
+
+func TestHeartbeatsStayWithinTheirBytes(t *testing.T) {
+	g := NewWithT(t)
+	m := newMembers(Member{"a", at(1)}, time.Unix(0, 0))
+	for i := range 389 {
+		m.list([]Member{{fmt.Sprint(i), at(i + 2)}})
+	}
+	datagramsPerSecond := 389 / m.beatEvery().Seconds()
+	const bytesEach = 90
+	g.Expect(datagramsPerSecond * bytesEach).To(BeNumerically("<", 2000))
+}
+
+func TestAFindingOfOthersConfirmsOnlyTheSameState(t *testing.T) {
+	g := NewWithT(t)
+	f, now := findings{}, time.Unix(100, 0)
+	f.find("t", 7, now)
+	g.Expect(f.own(now)).To(HaveLen(1))
+	f.hear(finding{"t", 7, 100}, now.Add(time.Second))
+	g.Expect(f.topic("t").confirmed()).To(Equal(now.Add(900 * time.Millisecond)))
+	g.Expect(f.own(now.Add(time.Second))).To(BeEmpty()) // another tells it
+	changed := f.topic("t").changed
+	f.hear(finding{"t", 8, 0}, now.Add(2*time.Second))
+	g.Expect(changed).To(BeClosed())
+	g.Expect(f.topic("t").confirmed()).To(Equal(now))
+	f.hear(finding{"t", 7, 1500}, now.Add(2*time.Second)) // older than what was heard
+	g.Expect(f.topic("t").heard.state).To(BeEquivalentTo(8))
+}
+
+var _ = Describe("gateways on one network", func() {
+	open := func(host string) (*Peers, context.CancelFunc) {
+		p, err := Open(host, "127.0.0.1:0", slog.New(slog.NewTextHandler(io.Discard, nil)))
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		var duty sync.WaitGroup
+		duty.Go(func() { p.Run(ctx) })
+		DeferCleanup(func() { cancel(); duty.Wait() })
+		return p, func() { cancel(); duty.Wait() }
+	}
+	live := func(p *Peers) func() int {
+		return func() int {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(p.members.live(time.Now()))
+		}
+	}
+	request := func(id string) permit.Ask {
+		return permit.Ask{ID: id, Unread: 20000, Target: 2 * time.Second, Limit: 8 * time.Second}
+	}
+
+	It("learn of each other, and of one that leaves", func() {
+		a, _ := open("a")
+		b, _ := open("b")
+		a.List([]Member{b.Self()}) // b learns of a from its heartbeat
+		Eventually(live(a)).Should(Equal(2))
+		Eventually(live(b)).Should(Equal(2))
+		b.Leave()
+		Eventually(live(a)).Should(Equal(1))
+	})
+
+	It("decide for each other, one prompt after the other", func() {
+		a, _ := open("a")
+		b, _ := open("b")
+		a.List([]Member{b.Self()})
+		Eventually(live(a)).Should(Equal(2))
+		Eventually(live(b)).Should(Equal(2))
+		ctx := context.Background()
+		first, leave := a.Ask(ctx, "engine", request("r1"))
+		Expect(first.Verdict).To(Equal(permit.Granted))
+		second := make(chan permit.Answer, 1)
+		go func() {
+			answer, _ := b.Ask(ctx, "engine", request("r2"))
+			second <- answer
+		}()
+		Consistently(second, 150*time.Millisecond).ShouldNot(Receive())
+		leave.FirstToken()
+		Eventually(second).Should(Receive(HaveField("Verdict", permit.Granted)))
+	})
+
+	It("go on when the one that decides is gone", func() {
+		a, _ := open("a")
+		b, stopB := open("b")
+		a.List([]Member{b.Self()})
+		Eventually(live(a)).Should(Equal(2))
+		stopB()
+		for i := range 8 { // about half of these engines had their home at b
+			answer, _ := a.Ask(context.Background(), fmt.Sprint("engine", i), request(fmt.Sprint("r", i)))
+			Expect(answer.Verdict).To(Equal(permit.Granted))
+		}
+	})
+
+	It("do not keep the place of a request that is given up", func() {
+		a, _ := open("a")
+		_, _ = a.Ask(context.Background(), "engine", request("r1"))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan permit.Answer, 1)
+		go func() {
+			answer, _ := a.Ask(ctx, "engine", request("r2"))
+			done <- answer
+		}()
+		Consistently(done, 100*time.Millisecond).ShouldNot(Receive())
+		cancel()
+		Eventually(done).Should(Receive(HaveField("Verdict", permit.Refused)))
+	})
+
+	It("tell the others what they have read", func() {
+		a, _ := open("a")
+		b, _ := open("b")
+		a.List([]Member{b.Self()})
+		Eventually(live(b)).Should(Equal(2))
+		b.Find("topic", 1, time.Now())
+		_, changed := b.Confirmed("topic")
+		a.Find("topic", 2, time.Now().Add(time.Millisecond))
+		Eventually(changed, 2*time.Second).Should(BeClosed())
+	})
+})
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -80,6 +80,7 @@
 type entry struct {
 	ask     Ask
 	arrived time.Time
+	number  uint64 // in the order of arrival
 	granted time.Time
 	read    bool
 }
@@ -91,6 +92,7 @@
 	reading  int     // unread tokens of granted requests
 	rate     float64 // tokens a ms
 	lastRead time.Time
+	numbers  uint64 // of asks so far
 }
 
 // NewQueue returns an empty queue.
@@ -104,7 +106,8 @@
 	if i := q.find(a.ID); i >= 0 {
 		return q.answer(a.ID, Queued, q.wait(q.waiting[i], now))
 	}
-	e := &entry{ask: a, arrived: now}
+	q.numbers++
+	e := &entry{ask: a, arrived: now, number: q.numbers}
 	// What is ahead counts, not the request's own reading: long prompts are to be
 	// refused no sooner than short ones.
 	wait := q.wait(e, now)
@@ -232,7 +235,7 @@
 	if x, y := q.onTime(a, now), q.onTime(b, now); x != y {
 		return x
 	}
-	return a.arrived.Before(b.arrived)
+	return a.number < b.number
 }
 
 // onTime reports whether the request would be on time if it were granted now.
