Simulate the policy: a load on batching engines, variants side by side

merlinpost simulate plays the Board's classes against the real placement and permit decisions and a model of a batching engine, in simulated time; tests check what callers get.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,6 +44,7 @@
 	Op       *opCmd       `arg:"subcommand:operation" help:"show what became of an operation"`
 	Status   *statusCmd   `arg:"subcommand:status" help:"show which process has which revision in force"`
 	Load     *loadCmd     `arg:"subcommand:load" help:"run a load scenario and report"`
+	Simulate *simulateCmd `arg:"subcommand:simulate" help:"play a load against the placement of prompts, in simulated time"`
 	Standin  *standinCmd  `arg:"subcommand:standin" help:"run a stand-in of an outside system"`
 }
 
@@ -65,7 +66,7 @@
 		{a.Router != nil, a.Router}, {a.Gateway != nil, a.Gateway}, {a.Dev != nil, a.Dev}, {a.Validate != nil, a.Validate}, {a.HashKey != nil, a.HashKey},
 		{a.Apply != nil, a.Apply}, {a.Get != nil, a.Get}, {a.Delete != nil, a.Delete}, {a.Watch != nil, a.Watch},
 		{a.History != nil, a.History}, {a.Withdraw != nil, a.Withdraw}, {a.Op != nil, a.Op}, {a.Status != nil, a.Status},
-		{a.Load != nil, a.Load}, {a.Standin != nil, a.Standin},
+		{a.Load != nil, a.Load}, {a.Simulate != nil, a.Simulate}, {a.Standin != nil, a.Standin},
 	} {
 		if c.set {
 			return c.run
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -22,7 +22,9 @@
 	RunSpecs(t, "peers")
 }
 
-func at(port int) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port)) }
+func at(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+}
 
 func TestLiveGatewaysAreThoseHeardLately(t *testing.T) {
 	g := NewWithT(t)
--- /dev/null
+++ b/internal/simulate/simulate.go
@@ -0,0 +1,342 @@
+package simulate
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/permit"
+	"github.com/merlinpost/merlinpost/internal/placement"
+	"github.com/merlinpost/merlinpost/internal/registry"
+)
+
+// Class is a kind of request.
+type Class struct {
+	Name        string
+	PerSecond   float64
+	Interactive bool
+	Rank        int
+	SharedParts int     // different shared parts
+	Shared      int     // tokens of a shared part
+	Own         float64 // mean tokens of a request's own part
+	OwnSpread   float64 // sigma of its logarithm
+	Output      float64 // mean generated tokens
+	Target      time.Duration
+	Deadline    time.Duration
+	// Burst multiplies the rate from BurstAt for BurstFor.
+	Burst             float64
+	BurstAt, BurstFor time.Duration
+}
+
+// Variant is a policy.
+type Variant string
+
+// The variants: the product's policy, the same without permits, without the
+// parting of engines, and a baseline that sends each request to the engine with
+// the fewest of its own gateway's requests.
+const (
+	Product   Variant = "product"
+	NoPermits Variant = "no_permits"
+	NoParts   Variant = "no_parts"
+	Least     Variant = "least_requests"
+)
+
+// Variants are all variants.
+var Variants = []Variant{Product, NoPermits, NoParts, Least}
+
+// Config is one simulation.
+type Config struct {
+	Engines, Gateways int
+	Engine            EngineModel
+	Classes           []Class
+	Length            time.Duration
+	Seed              uint64
+	Variant           Variant
+}
+
+// ClassResult is what the callers of a class got.
+type ClassResult struct {
+	Name                           string
+	Asked, OnTime, Late, Refused   int
+	Failed                         int // given up or past the deadline
+	ReadAgainTokens                int
+	FirstTokenP50, FirstTokenP95Ms float64
+}
+
+// Served is the share of requests that were answered.
+func (r ClassResult) Served() float64 { return float64(r.OnTime+r.Late) / float64(max(1, r.Asked)) }
+
+// InTime is the share of requests that were answered within their target.
+func (r ClassResult) InTime() float64 { return float64(r.OnTime) / float64(max(1, r.Asked)) }
+
+// Board returns the classes of the users' first deployment, scaled by factor, for
+// the given number of engines. Bursts of each kind of request come in turn.
+func Board(engines int, factor float64) []Class {
+	per := factor * float64(engines) / 38
+	return []Class{
+		{Name: "report", PerSecond: 83.8 * per, Rank: 6, SharedParts: 14 * engines, Shared: 4870, Own: 6610, OwnSpread: 0.8, Output: 330,
+			Target: 2500 * time.Millisecond, Deadline: 15 * time.Second, Burst: 2.2, BurstAt: time.Second, BurstFor: 9 * time.Second},
+		{Name: "advice", PerSecond: 84.7 * per, Interactive: true, Rank: 0, SharedParts: 175, Shared: 198, Own: 628, OwnSpread: 0.7, Output: 290,
+			Target: 300 * time.Millisecond, Deadline: 12 * time.Second, Burst: 2, BurstAt: 11 * time.Second, BurstFor: 5 * time.Second},
+		{Name: "tag", PerSecond: 77.7 * per, Interactive: true, Rank: 3, SharedParts: 107, Shared: 568, Own: 1800, OwnSpread: 0.8, Output: 25,
+			Target: 400 * time.Millisecond, Deadline: 3 * time.Second},
+	}
+}
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Time
+	seq int
+	do  func(now time.Time)
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || (h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq)
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// world is one simulation under way.
+type world struct {
+	Config
+	now      time.Time
+	seq      int
+	agenda   events
+	random   *rand.Rand
+	engines  map[string]*engine
+	registry []*registry.Registry // of each gateway
+	demand   []*placement.Demand  // of each gateway
+	desk     *permit.Desk[*ask]
+	jobs     []*job
+}
+
+// ask is a job that waits for a verdict.
+type ask struct {
+	job     *job
+	gateway int
+	homes   []placement.Choice
+	tried   int
+	best    int
+	wait    time.Duration
+}
+
+// most is how many engines are asked with a bound on the wait.
+func (a *ask) most() int { return min(homes, len(a.homes)) }
+
+// Run plays a simulation. The same Config gives the same result.
+func Run(c Config) []ClassResult {
+	w := &world{Config: c, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(c.Seed, 7)),
+		engines: map[string]*engine{}, desk: permit.NewDesk[*ask]()}
+	var list []registry.Server
+	for i := range c.Engines {
+		id := fmt.Sprintf("e%03d", i)
+		w.engines[id] = newEngine(id, c.Engine)
+		list = append(list, registry.Server{ID: id, Service: "s", Address: id, FailureDomain: fmt.Sprint("d", i%4), Slots: c.Engine.Slots})
+	}
+	for range c.Gateways {
+		r := registry.New()
+		r.Replace(list, w.now, time.Time{})
+		w.registry = append(w.registry, r)
+		w.demand = append(w.demand, &placement.Demand{})
+	}
+	w.schedule()
+	for w.agenda.Len() > 0 {
+		e := heap.Pop(&w.agenda).(event)
+		w.now = e.at
+		e.do(e.at)
+	}
+	return w.results()
+}
+
+func (w *world) after(d time.Duration, do func(now time.Time)) { w.at(w.now.Add(d), do) }
+
+func (w *world) at(t time.Time, do func(now time.Time)) {
+	w.seq++
+	heap.Push(&w.agenda, event{t, w.seq, do})
+}
+
+// schedule draws the arrivals.
+func (w *world) schedule() {
+	start := w.now
+	for i := range w.Classes {
+		class := &w.Classes[i]
+		for t := time.Duration(0); t < w.Length; {
+			rate := class.PerSecond
+			if t >= class.BurstAt && t < class.BurstAt+class.BurstFor {
+				rate *= class.Burst
+			}
+			t += time.Duration(w.random.ExpFloat64() / rate * float64(time.Second))
+			j := w.draw(class)
+			w.jobs = append(w.jobs, j)
+			w.at(start.Add(t), func(now time.Time) { w.arrive(j, now) })
+		}
+	}
+	var tick func(time.Time)
+	tick = func(now time.Time) {
+		w.tell(w.desk.Next(now))
+		if now.Sub(start) < w.Length+20*time.Second {
+			w.after(20*time.Millisecond, tick)
+		}
+	}
+	w.after(0, tick)
+}
+
+func (w *world) draw(class *Class) *job {
+	own := int(class.Own * math.Exp(class.OwnSpread*w.random.NormFloat64()-class.OwnSpread*class.OwnSpread/2))
+	own = max(own, 16)
+	id := fmt.Sprint("r", len(w.jobs))
+	part := fmt.Sprint(class.Name, w.random.IntN(class.SharedParts))
+	return &job{id: id, class: class, output: max(1, int(class.Output*math.Exp(0.4*w.random.NormFloat64()))),
+		prompt: placement.Prompt{Tokens: class.Shared + own, Output: int(class.Output),
+			Parts: []placement.Part{{ID: part, Tokens: class.Shared}, {ID: id, Tokens: own}}}}
+}
+
+// arrive places a request at a random gateway.
+func (w *world) arrive(j *job, now time.Time) {
+	j.arrived = now
+	w.at(now.Add(j.class.Deadline), func(time.Time) { j.gone = true })
+	g := w.random.IntN(w.Gateways)
+	w.demand[g].Add(j.prompt, j.class.Interactive, now)
+	share := w.demand[g].Share(now)
+	if w.Variant == NoParts || w.Variant == Least {
+		share = 0
+	}
+	req := placement.Request{Prompt: j.prompt, Interactive: j.class.Interactive, Key: j.id, Draw: w.random.Float64()}
+	candidates := w.candidates(g, now)
+	switch {
+	case w.Variant == Least:
+		w.send(j, g, placement.Plain(req, candidates), now)
+	case w.Variant == NoPermits || j.class.Interactive:
+		if share == 0 {
+			req.Interactive = false
+		}
+		w.send(j, g, placement.Engine(req, candidates, share), now)
+	default:
+		w.ask(&ask{job: j, gateway: g, homes: placement.Homes(req, candidates, share)}, now)
+	}
+}
+
+func (w *world) candidates(g int, now time.Time) []placement.Candidate {
+	backends := w.registry[g].Ready("s")
+	out := make([]placement.Candidate, len(backends))
+	for i, b := range backends {
+		out[i] = placement.Candidate{Backend: b, Server: b.Server(), View: b.View(now)}
+	}
+	return out
+}
+
+// homes is how many engines are asked in turn, quick the part of the target that
+// a request waits at one of them before others are asked: as gateways do.
+const (
+	homes = 3
+	quick = 0.4
+)
+
+// ask asks for leave at the next home, or at the best one without a bound.
+func (w *world) ask(a *ask, now time.Time) {
+	j := a.job
+	_, shared := j.prompt.Shared()
+	elapsed := now.Sub(j.arrived)
+	p := permit.Ask{ID: j.id, Rank: j.class.Rank, Unread: j.prompt.Tokens - shared, Target: j.class.Target - elapsed,
+		Limit: max(4*j.class.Target-elapsed, 500*time.Millisecond)}
+	at := a.tried
+	if a.tried < a.most() {
+		p.MaxWait = time.Duration(quick * float64(j.class.Target))
+	} else {
+		at = a.best
+	}
+	answer := w.desk.Ask(a.homes[at].Candidate.Server.ID, p, a, now)
+	w.settle(a, at, answer, now)
+}
+
+func (w *world) settle(a *ask, at int, answer permit.Answer, now time.Time) {
+	switch answer.Verdict {
+	case permit.Granted:
+		w.send(a.job, a.gateway, a.homes[at], now)
+	case permit.Queued:
+		a.job.queued = true
+	case permit.Refused:
+		if a.job.queued || a.tried >= a.most() {
+			a.job.refused = true
+			return
+		}
+		if a.tried == 0 || answer.Wait < a.wait {
+			a.best, a.wait = at, answer.Wait
+		}
+		a.tried++
+		w.ask(a, now)
+	}
+}
+
+func (w *world) tell(due []permit.Due[*ask]) {
+	for _, d := range due {
+		at := d.To.tried
+		if at >= d.To.most() {
+			at = d.To.best
+		}
+		if d.To.job.gone {
+			continue
+		}
+		w.settle(d.To, at, d.Answer, w.now)
+	}
+}
+
+// send gives the request to an engine.
+func (w *world) send(j *job, g int, c placement.Choice, now time.Time) {
+	e, b := w.engines[c.Candidate.Server.ID], c.Candidate.Backend
+	fetched := c.FetchFrom != "" && w.engines[c.FetchFrom].has(firstPart(j), now)
+	_, shared := j.prompt.Shared()
+	unread := j.prompt.Tokens - shared
+	b.Begin(unread)
+	e.take(j, j.class.Rank, fetched, now)
+	first := func(f *job, at time.Time) {
+		f.first = at
+		w.at(at, func(now time.Time) { w.firstToken(f, e.id, now) })
+	}
+	end := func(f *job, at time.Time) { f.done = at }
+	w.at(now.Add(j.class.Deadline+time.Second), func(now time.Time) {
+		b.End()
+		w.desk.End(e.id, j.id)
+	})
+	j.onFirst = func(now time.Time) {
+		b.FirstToken(unread)
+		if j.class.Interactive {
+			w.demand[g].FirstToken(now.Sub(j.arrived) > j.class.Target/2)
+		}
+	}
+	if !e.busy {
+		e.busy = true
+		w.step(e, first, end)
+	}
+}
+
+func (w *world) firstToken(j *job, engine string, now time.Time) {
+	j.onFirst(now)
+	w.desk.FirstToken(engine, j.id, now)
+	w.tell(w.desk.Next(now))
+}
+
+func (w *world) step(e *engine, first, end func(*job, time.Time)) {
+	took := e.step(w.now, first, end)
+	if took == 0 {
+		e.busy = false
+		return
+	}
+	w.after(took, func(time.Time) { w.step(e, first, end) })
+}
+
+func firstPart(j *job) string {
+	id, _ := j.prompt.Shared()
+	return id
+}
--- /dev/null
+++ b/internal/simulate/simulate_test.go
@@ -0,0 +1,68 @@
+package simulate
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// play runs the Board's load on 12 engines behind 5 gateways.
+func play(v Variant, factor float64, seed uint64) map[string]ClassResult {
+	out := map[string]ClassResult{}
+	for _, r := range Run(Config{Engines: 12, Gateways: 5, Engine: DefaultEngine(), Classes: Board(12, factor),
+		Length: 30 * time.Second, Seed: seed, Variant: v}) {
+		out[r.Name] = r
+	}
+	return out
+}
+
+func TestASimulationRepeats(t *testing.T) {
+	NewWithT(t).Expect(play(Product, 1, 3)).To(Equal(play(Product, 1, 3)))
+}
+
+func TestAtModerateLoadEverythingIsOnTime(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(3) {
+		for name, r := range play(Product, 0.6, seed) {
+			g.Expect(r.InTime()).To(BeNumerically(">", 0.97), "%s with seed %d", name, seed)
+			g.Expect(r.Refused).To(BeZero())
+		}
+	}
+}
+
+// Through a burst of reports at full load, permits keep those that are served on
+// time: without them the engines take in all at once and most come late.
+func TestPermitsKeepReportsOnTimeThroughABurst(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(3) {
+		with, without := play(Product, 1, seed)["report"], play(NoPermits, 1, seed)["report"]
+		g.Expect(with.InTime()).To(BeNumerically(">", without.InTime()+0.2), "seed %d: %+v, %+v", seed, with, without)
+		g.Expect(with.Served()).To(BeNumerically(">", without.Served()-0.02), "seed %d", seed)
+	}
+}
+
+// Beyond capacity the interactive classes keep their targets, reports are refused
+// at once rather than left to die, and are not starved.
+func TestBeyondCapacityReportsYield(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(3) {
+		all := play(Product, 1.5, seed)
+		g.Expect(all["advice"].InTime()).To(BeNumerically(">", 0.9), "seed %d: %+v", seed, all["advice"])
+		g.Expect(all["tag"].InTime()).To(BeNumerically(">", 0.85), "seed %d: %+v", seed, all["tag"])
+		report := all["report"]
+		g.Expect(report.Served()).To(BeNumerically(">", 0.3), "seed %d: %+v", seed, report)
+		g.Expect(report.Failed).To(BeNumerically("<", report.Asked/10), "seed %d: %+v", seed, report)
+		baseline := play(Least, 1.5, seed)
+		g.Expect(all["advice"].InTime()).To(BeNumerically(">", baseline["advice"].InTime()), "seed %d", seed)
+		g.Expect(report.OnTime).To(BeNumerically(">", baseline["report"].OnTime), "seed %d", seed)
+	}
+}
+
+// Requests that share parts meet at few engines, so that less is read again than
+// where each goes to the least loaded.
+func TestHomesSaveReading(t *testing.T) {
+	g := NewWithT(t)
+	homes, least := play(Product, 0.8, 1)["report"], play(Least, 0.8, 1)["report"]
+	g.Expect(homes.ReadAgainTokens).To(BeNumerically("<", 6*least.ReadAgainTokens/10))
+}
