Test gateways as processes on the platform's stand-ins

Stops, grace time, settings read again, all killed with the store away, configuration in force everywhere, draining, decision lines: over real processes.

--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,314 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/standin/platformstore"
+	"github.com/merlinpost/merlinpost/internal/standin/worker"
+)
+
+const (
+	fleetHost  = "a.example"
+	fleetKey   = "key"
+	llmService = "llm"
+	appService = "app"
+)
+
+// fleet is a deployment of gateways on the platform's stand-ins: gateways are
+// processes, the store and the workers are in this one.
+type fleet struct {
+	dir   string
+	net   uint32
+	store *platformstore.Store
+	http  *http.Client
+
+	mu       sync.Mutex
+	version  int
+	gateways []*gatewayProc
+	workers  []*worker.Worker
+	started  int // workers so far
+	beats    int
+}
+
+// gatewayProc is one gateway process.
+type gatewayProc struct {
+	host   string
+	ip     string
+	cmd    *exec.Cmd
+	log    *lockedBuffer
+	exited chan struct{}
+	code   int
+}
+
+// lockedBuffer keeps what a process writes.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+func newFleet(dir string, gateways, llms, apps int) (*fleet, error) {
+	f := &fleet{dir: dir, net: nextNet.Add(1), store: platformstore.Start(),
+		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
+	f.configure(nil)
+	for range llms {
+		if _, err := f.addWorker(llmService); err != nil {
+			return nil, err
+		}
+	}
+	for range apps {
+		if _, err := f.addWorker(appService); err != nil {
+			return nil, err
+		}
+	}
+	for i := range gateways {
+		g := &gatewayProc{host: fmt.Sprint("edge-", i), ip: fmt.Sprintf("127.%d.%d.%d", 101+os.Getpid()%100, f.net&0xff, i+1)}
+		f.gateways = append(f.gateways, g)
+		if err := f.start(g); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.waitReady()
+}
+
+func (f *fleet) close() {
+	for _, g := range f.gateways {
+		f.kill(g)
+	}
+	for _, w := range f.workers {
+		w.Close()
+	}
+	f.store.CloseClientConnections()
+	f.store.Close()
+}
+
+// configure writes the next version of the configuration; change may alter it.
+func (f *fleet) configure(change func(config map[string]any)) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version += 3
+	route := func(name, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{"name": name, "host": fleetHost, "path_prefix": "/" + name + "/", "kind": kind, "service": service,
+			"timeout_ms": 6000, "target_latency_ms": 300, "max_attempts": 2, "priority": 0}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	config := map[string]any{"version": f.version,
+		"routes": []any{
+			route("post", "non_idempotent", appService, nil),
+			route("list", "idempotent", appService, nil),
+			route("advice", "streaming", llmService, map[string]any{"session_affinity": true}),
+			route("report", "streaming", llmService, map[string]any{"session_affinity": true, "stream_resumption": true,
+				"target_latency_ms": 2500, "priority": 2}),
+		},
+		"services": []any{map[string]any{"name": llmService, "engine": map[string]any{"slots": 64, "kv_capacity_tokens": 500000}},
+			map[string]any{"name": appService}},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "team", "api_keys": []string{fleetKey}}}}
+	if change != nil {
+		change(config)
+	}
+	f.store.PutJSON(platformstore.TopicOperator, "config", config)
+	return f.version
+}
+
+// addWorker starts a worker and registers it.
+func (f *fleet) addWorker(service string) (*worker.Worker, error) {
+	f.mu.Lock()
+	f.started++
+	id := fmt.Sprintf("i-%s-%d", service, f.started)
+	f.mu.Unlock()
+	w, err := worker.Start(id)
+	if err != nil {
+		return nil, err
+	}
+	if service == llmService {
+		w.Behave(wholeStream)
+	}
+	f.mu.Lock()
+	f.workers = append(f.workers, w)
+	f.mu.Unlock()
+	f.register(w, service, "ready")
+	return w, nil
+}
+
+// streamEvents is the length of a stream, with a pause that makes it last.
+const streamEvents = 8
+
+var wholeStream = worker.Behaviour{Events: streamEvents, BreakAfter: -1, Pace: 5 * time.Millisecond}
+
+func (f *fleet) register(w *worker.Worker, service, state string) {
+	f.mu.Lock()
+	f.beats++
+	n := f.beats
+	f.mu.Unlock()
+	f.store.PutJSON(platformstore.TopicServers, w.ID, map[string]any{"service": service, "address": w.Address(), "zone": "z", "slots": 64,
+		"state": state, "sequence": n})
+}
+
+func (f *fleet) unregister(w *worker.Worker) { f.store.Put(platformstore.TopicServers, w.ID, nil) }
+
+func (f *fleet) settingsFile(g *gatewayProc) string { return filepath.Join(f.dir, g.host+".conf") }
+
+// writeSettings writes a gateway's settings file.
+func (f *fleet) writeSettings(g *gatewayProc, graceSeconds int) error {
+	text := fmt.Sprintf(`node=%s
+ip=%s
+zone=z
+listen.front=%s:8080
+listen.ready=%s:8081
+internal_ports=7340,7355
+platform.address=%s
+limits.memory_mb=284
+bounds.drain_ms=600
+bounds.config_apply_ms=800
+bounds.grace_s=%d
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+`, g.host, g.ip, g.ip, g.ip, f.store.Address(), graceSeconds)
+	return os.WriteFile(f.settingsFile(g), []byte(text), 0o600)
+}
+
+// start starts a gateway process.
+func (f *fleet) start(g *gatewayProc) error {
+	if err := f.writeSettings(g, 5); err != nil {
+		return err
+	}
+	g.log, g.exited = &lockedBuffer{}, make(chan struct{})
+	g.cmd = exec.Command(filepath.Join(binaries, "merlinpost"), "gateway", "--log-one-in", "1")
+	g.cmd.Env = append(os.Environ(), "MERLINPOST_NODE_FILE="+f.settingsFile(g))
+	g.cmd.Stdout, g.cmd.Stderr = g.log, g.log
+	if err := g.cmd.Start(); err != nil {
+		return err
+	}
+	go func(cmd *exec.Cmd, exited chan struct{}) {
+		_ = cmd.Wait() // the code tells
+		g.code = cmd.ProcessState.ExitCode()
+		close(exited)
+	}(g.cmd, g.exited)
+	return nil
+}
+
+// kill ends a gateway process that this fleet has started.
+func (f *fleet) kill(g *gatewayProc) {
+	if g.cmd == nil {
+		return
+	}
+	_ = g.cmd.Process.Signal(syscall.SIGCONT) // it may be stopped
+	_ = g.cmd.Process.Kill()                  // it may have ended
+	<-g.exited
+}
+
+// ready reports whether the gateway's readiness check answers 200.
+func (f *fleet) ready(g *gatewayProc) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+g.ip+":8081/merlinpost/readiness", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (f *fleet) waitReady() error {
+	end := time.Now().Add(waitLimit)
+	for _, g := range f.gateways {
+		for !f.ready(g) {
+			if time.Now().After(end) {
+				return fmt.Errorf("%s is not ready; its log:\n%s", g.host, g.log)
+			}
+			time.Sleep(pollEvery)
+		}
+	}
+	return nil
+}
+
+// fleetAnswer is what a caller of the fleet got.
+type fleetAnswer struct {
+	status  int
+	body    string
+	version string
+	err     error
+}
+
+// ask sends a request to a gateway and reads the answer whole.
+func (f *fleet) ask(ctx context.Context, g *gatewayProc, route, id string) fleetAnswer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.ip+":8080/"+route+"/x", strings.NewReader("body of "+id))
+	if err != nil {
+		return fleetAnswer{err: err}
+	}
+	req.Host = fleetHost
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("Api-Key", fleetKey)
+	req.Header.Set("X-Request-Deadline", "5000")
+	if route == "report" || route == "advice" {
+		req.Header.Set("X-Model", "m")
+		req.Header.Set("X-Token-Count", "9000,100")
+		req.Header.Set("X-Prompt-Prefix", "aa:4000,"+id[len(id)-1:]+"b:5000")
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return fleetAnswer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }() // the body has been read
+	body, err := io.ReadAll(resp.Body)
+	return fleetAnswer{status: resp.StatusCode, body: string(body), err: err}
+}
+
+// want is the right body for a request.
+func want(route, id string) string {
+	if route == "report" || route == "advice" {
+		return worker.Stream(id, streamEvents)
+	}
+	return worker.Answer(id)
+}
+
+// logLine is a line of a gateway's log.
+type logLine struct {
+	Msg   string
+	ID    string
+	Code  string
+	Sends []struct{ Server, Result, Cause string }
+}
+
+// lines returns the lines of a gateway's log about a request.
+func (g *gatewayProc) lines(id string) []logLine {
+	var out []logLine
+	for _, text := range strings.Split(g.log.String(), "\n") {
+		var l logLine
+		if json.Unmarshal([]byte(text), &l) == nil && l.ID == id {
+			out = append(out, l)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/e2e/gateways_test.go
@@ -0,0 +1,156 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/merlinpost/merlinpost/internal/standin/platformstore"
+	"github.com/merlinpost/merlinpost/internal/standin/worker"
+)
+
+func TestGateways(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(waitLimit)
+	RunSpecs(t, "gateways as processes")
+}
+
+var _ = Describe("gateways as processes", func() {
+	ctx := context.Background()
+	up := func(gateways, llms, apps int) *fleet {
+		f, err := newFleet(GinkgoT().TempDir(), gateways, llms, apps)
+		if f != nil {
+			DeferCleanup(f.close)
+		}
+		Expect(err).NotTo(HaveOccurred())
+		return f
+	}
+	served := func(f *fleet, g *gatewayProc, route, id string) {
+		GinkgoHelper()
+		a := f.ask(ctx, g, route, id)
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.status).To(Equal(200), a.body)
+		Expect(a.body).To(Equal(want(route, id)))
+	}
+
+	It("serve every kind of request", func() {
+		f := up(2, 2, 2)
+		for i, route := range []string{"post", "list", "advice", "report"} {
+			for j, g := range f.gateways {
+				served(f, g, route, fmt.Sprint("r", i, j))
+			}
+		}
+	})
+
+	It("finish what they have read when they are stopped, and are not ready at once", func() {
+		f := up(2, 1, 1)
+		g := f.gateways[0]
+		f.workers[0].Behave(worker.Behaviour{Events: streamEvents, BreakAfter: -1, Pace: 100 * time.Millisecond})
+		answer := make(chan fleetAnswer, 1)
+		go func() { answer <- f.ask(ctx, g, "advice", "long") }()
+		Eventually(f.workers[0].Runs).Should(HaveLen(1))
+		Expect(g.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(func() bool { return f.ready(g) }).Should(BeFalse())
+		served(f, g, "post", "while-stopping") // the balancer has not noticed yet
+		var a fleetAnswer
+		Eventually(answer).Should(Receive(&a))
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.body).To(Equal(want("advice", "long")))
+		Eventually(g.exited).Should(BeClosed())
+		Expect(g.code).To(Equal(0))
+		served(f, f.gateways[1], "post", "elsewhere")
+	})
+
+	It("end within their grace time although a request goes on", func() {
+		f := up(1, 1, 1)
+		g := f.gateways[0]
+		f.workers[0].Behave(worker.Behaviour{Hang: true})
+		go f.ask(ctx, g, "advice", "endless")
+		Eventually(f.workers[0].Runs).Should(HaveLen(1))
+		begin := time.Now()
+		Expect(g.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(g.exited).Should(BeClosed())
+		Expect(time.Since(begin)).To(BeNumerically("<", 5*time.Second))
+	})
+
+	It("read their settings again, and keep the last good ones", func() {
+		f := up(1, 1, 1)
+		g := f.gateways[0]
+		Expect(f.writeSettings(g, 4)).To(Succeed())
+		Expect(g.cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+		Eventually(g.log.String).Should(ContainSubstring("settings reloaded"))
+		Expect(f.writeSettings(g, 0)).To(Succeed())
+		Eventually(g.log.String).Should(ContainSubstring("settings rejected")) // without a signal
+		Expect(g.log.String()).To(ContainSubstring("bounds.grace_s"))
+		served(f, g, "post", "after")
+	})
+
+	It("come back after all were killed, also while the store is away", func() {
+		f := up(3, 1, 1)
+		for _, g := range f.gateways {
+			f.kill(g)
+		}
+		f.store.SetMode(platformstore.Busy)
+		for _, g := range f.gateways {
+			Expect(f.start(g)).To(Succeed())
+		}
+		g := f.gateways[0]
+		Eventually(func() int { return f.ask(ctx, g, "post", "early").status }).Should(Equal(503))
+		Expect(f.ready(g)).To(BeFalse())
+		f.store.SetMode(platformstore.Up)
+		Expect(f.waitReady()).To(Succeed())
+		for i, g := range f.gateways {
+			served(f, g, "post", fmt.Sprint("back", i))
+		}
+		Expect(f.workers[1].Runs()).To(HaveLen(3))
+	})
+
+	It("put a configuration in force everywhere, and none before it again", func() {
+		f := up(3, 1, 1)
+		for range 5 {
+			version := f.configure(nil)
+			for _, g := range f.gateways {
+				Eventually(g.log.String).Should(ContainSubstring(fmt.Sprintf(`"config":%d`, version)))
+			}
+		}
+		f.configure(func(c map[string]any) { c["tenants"] = []any{} })
+		for _, g := range f.gateways {
+			Eventually(func() int { return f.ask(ctx, g, "post", "revoked").status }).Should(Equal(401))
+		}
+		f.store.Forget(platformstore.TopicOperator)
+		for _, g := range f.gateways {
+			Consistently(func() int { return f.ask(ctx, g, "post", "still").status }, 500*time.Millisecond).Should(Equal(401))
+		}
+	})
+
+	It("send nothing to a worker that drains", func() {
+		f := up(2, 0, 2)
+		leaving := f.workers[0]
+		f.register(leaving, appService, "draining")
+		for _, g := range f.gateways {
+			Eventually(func() int {
+				before := len(leaving.Runs())
+				for i := range 6 {
+					served(f, g, "post", fmt.Sprint("d", i))
+				}
+				return len(leaving.Runs()) - before
+			}).Should(BeZero())
+		}
+	})
+
+	It("say in their logs why a request failed", func() {
+		f := up(1, 0, 1)
+		f.workers[0].Behave(worker.Behaviour{Drop: true})
+		Expect(f.ask(ctx, f.gateways[0], "post", "lost").status).To(Equal(502))
+		Eventually(func() []logLine { return f.gateways[0].lines("lost") }).Should(HaveLen(1))
+		line := f.gateways[0].lines("lost")[0]
+		Expect(line.Code).To(Equal("link_lost"))
+		Expect(line.Sends[0].Server).To(Equal(f.workers[0].ID))
+		Expect(line.Sends[0].Result).To(Equal("may_have_run"))
+	})
+})
