Answer what is in progress before the grace time ends

Change: 0.6 s before the end of the grace time requests that were not sent get 503 with when to come back, those that may have run 502.

--- a/e2e/gateways_test.go
+++ b/e2e/gateways_test.go
@@ -66,16 +66,31 @@
 		served(f, f.gateways[1], "post", "elsewhere")
 	})
 
-	It("end within their grace time although a request goes on", func() {
+	It("end within their grace time with an answer to what goes on", func() {
 		f := up(1, 1, 1)
 		g := f.gateways[0]
+		Expect(f.writeSettings(g, 2)).To(Succeed())
+		Eventually(g.log.String).Should(ContainSubstring("settings reloaded"))
 		f.workers[0].Behave(worker.Behaviour{Hang: true})
-		go f.ask(ctx, g, "advice", "endless")
-		Eventually(f.workers[0].Runs).Should(HaveLen(1))
+		endless, queued := make(chan fleetAnswer, 1), make(chan fleetAnswer, 1)
+		go func() { endless <- f.ask(ctx, g, "advice", "endless") }()
+		go func() { queued <- f.ask(ctx, g, "report", "read-1") }()
+		Eventually(f.workers[0].Runs).Should(HaveLen(2))
+		go func() { queued <- f.ask(ctx, g, "report", "waits-1") }() // for leave
 		begin := time.Now()
 		Expect(g.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
 		Eventually(g.exited).Should(BeClosed())
-		Expect(time.Since(begin)).To(BeNumerically("<", 5*time.Second))
+		Expect(time.Since(begin)).To(BeNumerically("<", 2*time.Second))
+		// Each has a final answer: nobody can tell whether the first two ran, the
+		// third has not.
+		statuses := []int{}
+		for _, ch := range []chan fleetAnswer{endless, queued, queued} {
+			var a fleetAnswer
+			Eventually(ch).Should(Receive(&a))
+			Expect(a.err).NotTo(HaveOccurred())
+			statuses = append(statuses, a.status)
+		}
+		Expect(statuses).To(ConsistOf(502, 502, 503))
 	})
 
 	It("read their settings again, and keep the last good ones", func() {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -96,7 +96,7 @@
 // answer.
 func (g *Gateway) maySend(ctx context.Context, q *request, rel *relay, try, ran int, last error) error {
 	if ctx.Err() != nil || !g.now().Before(q.deadline) {
-		return firstOf(last, deadlinePassed(ctx, ran > 0))
+		return firstOf(last, outOfTime(ctx, ran > 0))
 	}
 	if last == nil {
 		return nil // nothing was sent
@@ -121,13 +121,17 @@
 	return other
 }
 
-// deadlinePassed is the answer to a request whose time is over.
-func deadlinePassed(ctx context.Context, ran bool) *fault.Error {
-	if errors.Is(context.Cause(ctx), context.Canceled) {
+// outOfTime is the answer to a request whose context has ended.
+func outOfTime(ctx context.Context, ran bool) *fault.Error {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errEnding) && ran:
+		return fault.New(fault.LinkLost, "%w", errEnding).With(fault.Unknown)
+	case errors.Is(cause, errEnding):
+		return fault.New(fault.NotReady, "%w", errEnding).With(fault.NotRun).After(noServerRetryAfter)
+	case errors.Is(cause, context.Canceled):
 		return fault.New(fault.Cancelled, "the caller has left")
-	}
-	if ran {
-		return fault.New(fault.Deadline, "the deadline has passed").With(fault.Unknown)
+	case ran:
+		return fault.New(fault.Deadline, "%w", errDeadline).With(fault.Unknown)
 	}
 	return fault.New(fault.Expired, "the deadline has passed before the request was sent").With(fault.NotRun).After(noServerRetryAfter)
 }
@@ -234,13 +238,13 @@
 	var e *exchange.Error
 	if errors.As(err, &e) && !e.MayHaveRun {
 		if ctx.Err() != nil {
-			return notRun, deadlinePassed(ctx, false)
+			return notRun, outOfTime(ctx, false)
 		}
 		return notRun, fault.New(fault.NoLink, "the backend server could not be reached: %w", err).
 			With(fault.NotRun).After(noServerRetryAfter)
 	}
 	if ctx.Err() != nil {
-		return mayHaveRun, deadlinePassed(ctx, true)
+		return mayHaveRun, outOfTime(ctx, true)
 	}
 	return mayHaveRun, fault.New(fault.LinkLost, "the backend server gave no answer: %w", err).With(fault.Unknown)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -51,9 +52,12 @@
 	servers   *registry.Registry
 	pool      *exchange.Pool
 	stopping  atomic.Bool
-	inFlight  atomic.Int64
-	permits   Permits      // nil: no leave is asked for
-	bodies    atomic.Int64 // bytes of bodies in progress
+	// ending ends when requests in progress must be answered at once.
+	ending   context.Context
+	endNow   context.CancelFunc
+	inFlight atomic.Int64
+	permits  Permits      // nil: no leave is asked for
+	bodies   atomic.Int64 // bytes of bodies in progress
 
 	mu      sync.Mutex
 	budgets map[string]*retrybudget.Budget // by service
@@ -70,6 +74,7 @@
 		budgets: map[string]*retrybudget.Budget{}, demands: map[string]*placement.Demand{},
 	}
 	g.settings.Store(&set)
+	g.ending, g.endNow = context.WithCancel(context.Background())
 	return g
 }
 
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -63,7 +63,7 @@
 		answer, leave := g.permit(ctx, q, choice, resumed, quick)
 		switch {
 		case ctx.Err() != nil:
-			return choice, leave, deadlinePassed(ctx, false)
+			return choice, leave, outOfTime(ctx, false)
 		case answer.Verdict == permit.Granted:
 			return choice, leave, nil
 		case best.Candidate == nil || answer.Wait < wait:
@@ -76,7 +76,7 @@
 	answer, leave := g.permit(ctx, q, best, resumed, 0)
 	switch {
 	case ctx.Err() != nil:
-		return best, leave, deadlinePassed(ctx, false)
+		return best, leave, outOfTime(ctx, false)
 	case answer.Verdict == permit.Granted:
 		return best, leave, nil
 	case best.Candidate.Backend.Serving().Err() != nil:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -56,7 +56,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer+1))
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return mayHaveRun, deadlinePassed(ctx, true)
+		return mayHaveRun, outOfTime(ctx, true)
 	case err != nil:
 		return mayHaveRun, fault.New(fault.ShortAnswer, "the answer broke off: %w", err).With(fault.Unknown)
 	case len(body) > maxAnswer:
@@ -178,7 +178,7 @@
 		result, told = brokenOff, fault.Partial
 	}
 	if ctx.Err() != nil {
-		return result, deadlinePassed(ctx, true)
+		return result, outOfTime(ctx, true)
 	}
 	return result, fault.New(fault.ShortAnswer, "the stream broke off after %d events: %w", r.events, err).With(told)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -92,11 +92,18 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline.Add(answerGrace), errDeadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(g.ending, func() { end(errEnding) })()
 	g.serve(ctx, w, q)
 }
 
-// errDeadline is the cause of a context that ended at the request's deadline.
-var errDeadline = errors.New("the deadline has passed")
+// Causes of a request's context that ended without the caller's doing: at its
+// deadline, and at the end of the process's grace time.
+var (
+	errDeadline = errors.New("the deadline has passed")
+	errEnding   = errors.New("the gateway is ending")
+)
 
 // admit finds the request's route and team and reads its body. Errors are typed
 // and mean that nothing has run. The returned request is never nil.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,8 +15,9 @@
 	// balancer asks once a second and acts on the second answer, so that new
 	// connections come for up to two seconds and a little.
 	notReadyFor = 2600 * time.Millisecond
-	// stopMargin is kept at the end of the grace time for the process's exit.
-	stopMargin = 300 * time.Millisecond
+	// stopMargin is kept at the end of the grace time for the process's exit, and
+	// answerMargin before that to answer what is still in progress.
+	stopMargin, answerMargin = 300 * time.Millisecond, 300 * time.Millisecond
 	// drainPoll is how often the stop looks for the last request's end.
 	drainPoll = 20 * time.Millisecond
 	// sweepEvery is how often idle connections are looked through.
@@ -98,6 +99,9 @@
 			_ = callers.Close() // only a listener that is closed already fails
 			listening = false
 		}
+		if !now.Before(end.Add(-answerMargin)) {
+			g.endNow()
+		}
 		if (!listening && g.inFlight.Load() == 0) || !now.Before(end) {
 			g.logger.Info("stopped", "in_flight", g.inFlight.Load(), "took", now.Sub(begin))
 			return
