One retry budget for routers and gateways; drop what nothing reads

dispatch.Budget stood beside retrybudget.Budget; the router uses the latter, its property test moved over with the same bound. Services and engine figures of the configuration were decoded and read by nobody. A gateway that only hears confirmations now lets held-back removals lapse and logs the age of what is confirmed (test: TestAConfirmationEndsTheGraceOfRemovals).

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -255,10 +255,9 @@
 
 // fleetAnswer is what a caller of the fleet got.
 type fleetAnswer struct {
-	status  int
-	body    string
-	version string
-	err     error
+	status int
+	body   string
+	err    error
 }
 
 // ask sends a request to a gateway and reads the answer whole.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -67,24 +67,6 @@
 	g.Expect(picks(everything, func(c *Candidate) { c.PrefixShare = 1; c.FailureDomain = "9" })).To(BeNumerically(">", 0.45))
 }
 
-func TestRetriesStayInsideTheBudget(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		b := NewBudget(0.1, 5)
-		requests, retries := 0, 0
-		for range rapid.IntRange(1, 500).Draw(t, "steps") {
-			if rapid.Bool().Draw(t, "retry") {
-				if b.Take() {
-					retries++
-				}
-			} else {
-				b.Request()
-				requests++
-			}
-		}
-		NewWithT(t).Expect(float64(retries)).To(BeNumerically("<=", 5+0.1*float64(requests)+1e-6))
-	})
-}
-
 func BenchmarkChoice(b *testing.B) {
 	for _, n := range []int{16, 32, 650, 2600} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -59,20 +59,18 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Response is the answer's head with its body to be read. Close must be called.
+// Response is the answer's head; Read gives its body. Close must be called.
 type Response struct {
 	Status int
 	Header http.Header
 	// Length is the length of the body, -1 if it is not known beforehand.
 	Length int64
-	Body   io.Reader
 
-	pool   *Pool
-	conn   *conn
-	raw    *http.Response
-	stop   func() bool
-	whole  bool
-	reused bool
+	pool  *Pool
+	conn  *conn
+	raw   *http.Response
+	stop  func() bool // keeps the request's context from closing the connection
+	whole bool
 }
 
 // Read reads the body. io.EOF means that the body is whole.
@@ -127,12 +125,11 @@
 		return nil, err
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		pool: p, conn: c, raw: resp, stop: stop, reused: c.uses > 1}, nil
+		pool: p, conn: c, raw: resp, stop: stop}, nil
 }
 
 // roundTrip writes the request and reads the head of its answer.
 func (c *conn) roundTrip(req *Request) (*http.Response, error) {
-	c.uses++
 	if err := c.send(req); err != nil {
 		// The server may have answered before it closed the connection.
 		if resp, readErr := c.readHead(req); readErr == nil {
@@ -260,8 +257,7 @@
 	address string
 	limit   *limited
 	reader  *bufio.Reader
-	head    []byte // buffer for request heads
-	uses    int
+	head    []byte        // buffer for request heads
 	sent    chan struct{} // closed when the request is written
 	sendErr error         // set before sent is closed
 	idle    time.Time     // since when it is idle
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,17 +104,14 @@
 			break
 		}
 	}
-	g.ConfirmTable()
+	g.ConfirmTable(g.now())
 	telemetry.Gauge("merlinpost_config_version", float64(t.Version))
 	return true
 }
 
-// ConfirmTable records that the configuration in force was found to be the
-// newest.
-func (g *Gateway) ConfirmTable() {
-	now := g.now()
-	g.tableTime.Store(&now)
-}
+// ConfirmTable records that the configuration in force was found to be the newest
+// at a time.
+func (g *Gateway) ConfirmTable(at time.Time) { g.tableTime.Store(&at) }
 
 // ConfigVersion returns the version in force, 0 for none.
 func (g *Gateway) ConfigVersion() int64 {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -158,5 +158,17 @@
 	return now.Sub(r.updated)
 }
 
-// Confirmed records that the list was found unchanged.
-func (r *Registry) Confirmed(now time.Time) (dropped []string) { return r.Apply(nil, now, time.Time{}) }
+// Confirmed records that the list was found unchanged at a time, and drops the
+// entries whose grace is over by now.
+func (r *Registry) Confirmed(at, now time.Time) (dropped []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	dropped = r.expire(now, nil)
+	if at.After(r.updated) {
+		r.updated = at
+	}
+	if len(dropped) > 0 {
+		r.rebuild()
+	}
+	return dropped
+}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -38,6 +38,20 @@
 	g.Expect(list[2].Serving().Err()).NotTo(HaveOccurred())
 }
 
+// A gateway that hears from others that nothing has changed does not read the list
+// again; what is held back must lapse all the same.
+func TestAConfirmationEndsTheGraceOfRemovals(t *testing.T) {
+	g := NewWithT(t)
+	r, now := New(), time.Now()
+	r.Replace([]Server{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, now, time.Time{})
+	grace := now.Add(time.Second)
+	r.Apply([]Change{{ID: "b"}}, now, grace)
+	g.Expect(r.Confirmed(now, now.Add(500*time.Millisecond))).To(BeEmpty())
+	g.Expect(r.Confirmed(now.Add(time.Second), grace)).To(Equal([]string{"b"}))
+	g.Expect(ids(r)).To(Equal([]string{"a"}))
+	g.Expect(r.Age(grace.Add(time.Second))).To(Equal(time.Second))
+}
+
 func TestRemovalsAfterAnOutageAreHeldBack(t *testing.T) {
 	g := NewWithT(t)
 	r, now := New(), time.Now()
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -55,3 +55,23 @@
 	}
 	g.Expect(b.Take(now)).To(BeFalse())
 }
+
+// Within a moment, too, a budget never gives more than its spare and its share.
+func TestRetriesStayInsideTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		b := New(Settings{Ratio: 0.1, Window: 10 * time.Second, Spare: 5}, now)
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "retry") {
+				if b.Take(now) {
+					retries++
+				}
+			} else {
+				b.Request(now)
+				requests++
+			}
+		}
+		NewWithT(t).Expect(float64(retries)).To(BeNumerically("<=", 5+0.1*float64(requests)+1e-6))
+	})
+}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -113,7 +113,7 @@
 	}
 	defer r.open.Add(-1)
 	r.mu.Lock()
-	r.budget.Request()
+	r.budget.Request(time.Now())
 	r.mu.Unlock()
 	c := &call{router: r, req: req, deliver: deliver, events: make(chan any, eventRing), tried: map[string]bool{}, skip: map[string]bool{}}
 	lost := r.set.Link.LostMS
@@ -287,7 +287,7 @@
 func (c *call) Retry() bool {
 	c.router.mu.Lock()
 	defer c.router.mu.Unlock()
-	return c.router.budget.Take()
+	return c.router.budget.Take(time.Now())
 }
 
 // Offer implements relay.Effects.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/merlinpost/merlinpost/internal/lending"
 	"github.com/merlinpost/merlinpost/internal/membership"
 	"github.com/merlinpost/merlinpost/internal/quota"
+	"github.com/merlinpost/merlinpost/internal/retrybudget"
 	"github.com/merlinpost/merlinpost/internal/settings"
 	"github.com/merlinpost/merlinpost/internal/wire"
 )
@@ -34,15 +35,19 @@
 	post        *lending.Post // nil: equal shares only
 	askSeq      atomic.Uint64
 
-	mu     sync.Mutex // guards picker, rnd and budget
+	mu     sync.Mutex // guards picker and rnd
 	picker dispatch.Picker
 	rnd    *rand.Rand
-	budget *dispatch.Budget
+	budget *retrybudget.Budget
 
 	open     atomic.Int64 // requests in progress
 	stopping atomic.Bool
 }
 
+// retryWindow is the span over which retries are held to their share of the
+// offers: long enough for some offers at a router with one in ten seconds.
+const retryWindow = 10 * time.Second
+
 // New returns a router that has not started yet.
 func New(set settings.Router, logger *slog.Logger) (*Router, error) {
 	p := set.Policy
@@ -54,7 +59,8 @@
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	log := configlog.NewClient(set.Log.Address, settings.Millis(set.Log.TimeoutMS))
 	r := &Router{set: set, logger: logger, incarnation: configlog.NewID(), picker: picker, rnd: rnd,
-		budget: dispatch.NewBudget(p.RetryShare, p.RetryBurst), quota: quota.NewTeams(time.Now()),
+		budget: retrybudget.New(retrybudget.Settings{Ratio: p.RetryShare, Window: retryWindow, Spare: p.RetryBurst}, time.Now()),
+		quota:  quota.NewTeams(time.Now()),
 		ledger: quota.NewLedger(time.Now())}
 	r.Config = configlog.NewFollower(log, set.Log, true, logger, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	r.members = membership.NewReader(set.Members.Address, "", settings.Millis(set.Members.PollMS), logger)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,4 +1,4 @@
-// Package routing holds the routes, services and teams that a gateway has in
+// Package routing holds the routes and teams that a gateway has in
 // force: one immutable Table a configuration version, checked as a whole when
 // it is built.
 package routing
@@ -80,22 +80,6 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
-// Service is a set of backend servers that do the same work.
-type Service struct {
-	Name string
-	// MaxConnections is what each backend server accepts from all callers
-	// together; 0 means that no bound is known.
-	MaxConnections int
-	// Engine is nil for a plain service.
-	Engine *Engine
-}
-
-// Engine describes the model engines of a service.
-type Engine struct {
-	Slots         int // requests that run at once
-	CacheCapacity int // tokens that running requests and cached parts share
-}
-
 // Team is a caller with keys of its own.
 type Team struct {
 	Name string
@@ -116,18 +100,16 @@
 	Version int64
 	Limits  Limits
 
-	hosts    map[string]map[string]*Route
-	services map[string]*Service
-	teams    map[string]*Team // by key
-	keyed    bool
+	hosts map[string]map[string]*Route // by host and path prefix
+	teams map[string]*Team             // by key
+	keyed bool
 }
 
 // Contents are what a Table is built from.
 type Contents struct {
-	Version  int64
-	Limits   Limits
-	Routes   []Route
-	Services []Service
+	Version int64
+	Limits  Limits
+	Routes  []Route
 	// Teams maps each key to its team. A nil map means that no route asks for a
 	// key.
 	Teams map[string]*Team
@@ -138,14 +120,7 @@
 func New(c Contents) (*Table, error) {
 	t := &Table{
 		Version: c.Version, Limits: c.Limits, teams: c.Teams, keyed: c.Teams != nil,
-		hosts: map[string]map[string]*Route{}, services: make(map[string]*Service, len(c.Services)),
-	}
-	for i := range c.Services {
-		s := &c.Services[i]
-		if s.Name == "" {
-			return nil, fault.New(fault.InvalidConfig, "a service needs a name").InField("services.name")
-		}
-		t.services[s.Name] = s
+		hosts: map[string]map[string]*Route{},
 	}
 	for i := range c.Routes {
 		if err := t.add(&c.Routes[i]); err != nil {
@@ -227,6 +202,3 @@
 	}
 	return nil, fault.New(fault.Unauthorized, "the key is not known").With(fault.NotRun)
 }
-
-// Service returns a service by name, or nil.
-func (t *Table) Service(name string) *Service { return t.services[name] }
