--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -6,8 +6,11 @@
 import (
 	"io"
 	"log/slog"
+	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
 
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
@@ -66,3 +69,36 @@
 // one in n is. All processes keep the same requests, because the choice goes by
 // the ID.
 func Sampled(id string, n uint64) bool { return n <= 1 || xxhash.Sum64String(id)%n == 0 }
+
+const (
+	// failuresPerSecond and failureBurst bound the lines about failures of one
+	// kind: a storm of callers with an old key must not cost what serves the others.
+	failuresPerSecond = 20
+	failureBurst      = 100
+)
+
+// Limiter bounds the lines of each kind. It is safe for concurrent use.
+type Limiter struct {
+	mu    sync.Mutex
+	kinds map[string]*rate.Limiter
+}
+
+// Allow reports whether a line of the kind may be written now. One that may not is
+// counted. Kinds must come from a fixed set.
+func (l *Limiter) Allow(kind string, now time.Time) bool {
+	l.mu.Lock()
+	if l.kinds == nil {
+		l.kinds = map[string]*rate.Limiter{}
+	}
+	k := l.kinds[kind]
+	if k == nil {
+		k = rate.NewLimiter(failuresPerSecond, failureBurst)
+		l.kinds[kind] = k
+	}
+	l.mu.Unlock()
+	if k.AllowN(now, 1) {
+		return true
+	}
+	telemetry.Count("merlinpost_log_lines_dropped_total", "reason", "limited")
+	return false
+}
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -47,6 +48,20 @@
 	g.Expect(Sampled("x", 1)).To(BeTrue())
 }
 
+func TestAStormOfOneFailureDoesNotSilenceOthers(t *testing.T) {
+	g := NewWithT(t)
+	var l Limiter
+	now, written := time.Unix(0, 0), 0
+	for range 10000 {
+		if l.Allow("unauthorized", now) {
+			written++
+		}
+	}
+	g.Expect(written).To(Equal(failureBurst))
+	g.Expect(l.Allow("link_lost", now)).To(BeTrue())
+	g.Expect(l.Allow("unauthorized", now.Add(time.Second))).To(BeTrue())
+}
+
 func BenchmarkLine(b *testing.B) {
 	w := NewWriter(&strings.Builder{})
 	logger := NewLogger(w)
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -67,6 +67,9 @@
 // caller wished.
 func (g *Gateway) logFailure(q *request, e *fault.Error, status int) {
 	telemetry.Count("merlinpost_gateway_failures_total", "code", string(e.Code), "outcome", string(e.Outcome))
+	if !g.failureLines.Allow(string(e.Code), g.now()) {
+		return
+	}
 	g.logger.Warn("request failed", append(g.fields(q),
 		slog.Int("status", status), slog.String("code", string(e.Code)), slog.String("outcome", string(e.Outcome)),
 		slog.Duration("retry_after", e.RetryAfter), slog.String("cause", e.Message))...)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/merlinpost/merlinpost/internal/decisionlog"
 	"github.com/merlinpost/merlinpost/internal/exchange"
 	"github.com/merlinpost/merlinpost/internal/placement"
 	"github.com/merlinpost/merlinpost/internal/registry"
@@ -59,6 +60,8 @@
 	permits  Permits      // nil: no leave is asked for
 	bodies   atomic.Int64 // bytes of bodies in progress
 
+	failureLines decisionlog.Limiter
+
 	mu      sync.Mutex
 	budgets map[string]*retrybudget.Budget // by service
 	demands map[string]*placement.Demand   // by service
--- a/internal/peers/beats.go
+++ b/internal/peers/beats.go
@@ -11,6 +11,10 @@
 // the others. It repeats what a lost datagram did not bring.
 const newsBeat = 400 * time.Millisecond
 
+// liveLogEvery bounds the lines about the number of live gateways: when all start
+// at once it changes with each that is heard.
+const liveLogEvery = time.Second
+
 // heard takes in a heartbeat.
 func (p *Peers) heard(b beat, from netip.AddrPort, now time.Time) {
 	p.mu.Lock()
@@ -36,8 +40,10 @@
 		p.findings.news = false
 	}
 	live := len(p.members.live(now))
-	changed := live != p.lastLive
-	p.lastLive = live
+	changed := live != p.lastLive && now.Sub(p.liveLogged) >= liveLogEvery
+	if changed {
+		p.lastLive, p.liveLogged = live, now
+	}
 	p.mu.Unlock()
 	if changed {
 		telemetry.Gauge("merlinpost_gateways_live", float64(live))
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -69,13 +69,14 @@
 	in     chan received
 	desk   *permit.Desk[netip.AddrPort] // of the goroutine in Run
 
-	mu       sync.Mutex
-	members  *members
-	findings findings
-	waiting  map[string]chan permit.Answer // by ID of the request
-	leaving  bool
-	lastBeat time.Time
-	lastLive int
+	mu         sync.Mutex
+	members    *members
+	findings   findings
+	waiting    map[string]chan permit.Answer // by ID of the request
+	leaving    bool
+	lastBeat   time.Time
+	lastLive   int // as last logged, at liveLogged
+	liveLogged time.Time
 }
 
 // Open opens the socket of the gateway on host at an IP address and port.
