--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -117,8 +117,8 @@
 		part = all(candidates)
 		best = least(part, req)
 	case req.Interactive && saturated(best):
-		if spill := leastFree(candidates, req); spill != nil {
-			part, best = all(candidates), spill
+		if spill := least(all(candidates), req); !saturated(spill) {
+			best = spill
 		}
 	}
 	shared, tokens := req.Prompt.Shared()
@@ -126,7 +126,7 @@
 		return Choice{Candidate: best, Reason: Least}
 	}
 	home := homesOf(shared, part)[0]
-	if !saturated(home) && cost(home, req) <= cost(best, req)+homeSlackMs {
+	if cost(home, req) <= cost(best, req)+homeSlackMs {
 		return withFetch(Choice{Candidate: home, Reason: Home}, homesOf(shared, all(candidates))[0], tokens)
 	}
 	return withFetch(Choice{Candidate: best, Reason: Spread}, home, tokens)
@@ -172,16 +172,6 @@
 	return slices.DeleteFunc(part, func(c *Candidate) bool { return c.Tried || c.View.Avoided })
 }
 
-// leastFree returns the candidate with the lowest cost among those with free
-// slots; nil if there is none.
-func leastFree(candidates []Candidate, req Request) *Candidate {
-	free := slices.DeleteFunc(all(candidates), saturated)
-	if len(free) == 0 {
-		return nil
-	}
-	return least(free, req)
-}
-
 // Plain chooses among the servers of a plain service.
 func Plain(req Request, candidates []Candidate) Choice {
 	if len(candidates) == 0 {
