Never say not run of a request that an earlier server may have run

Cause: read in the code: a repeatable request whose first server gave no answer and whose second refused got 429 or 503. Test failed first (429 instead of 502). Change: such a request ends with 502 and the outcome unknown.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -73,8 +73,11 @@
 			ran++
 		}
 		last = err
+		if result == notRun && ran > 0 {
+			last = fault.New(fault.LinkLost, "an earlier server may have run the request: %w", err).With(fault.Unknown)
+		}
 		if !mayGoOn(q, rel, result) {
-			return err
+			return last
 		}
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -162,6 +162,18 @@
 			}
 		})
 
+		It("never says not run of a request that an earlier server may have run", func() {
+			for i := range 12 {
+				r := started(2)
+				r.workers[0].Behave(worker.Behaviour{Drop: true})
+				r.workers[1].Behave(worker.Behaviour{Refuse: true})
+				a := r.post("/again/", fmt.Sprint("a", i))
+				if len(r.runs()) > 0 {
+					Expect(a.status).To(Equal(502))
+				}
+			}
+		})
+
 		It("answers 504 once the time of the route is over", func() {
 			r := started(1)
 			r.workers[0].Behave(worker.Behaviour{Hang: true})
