--- a/e2e/gateways_test.go
+++ b/e2e/gateways_test.go
@@ -125,6 +125,24 @@
 		Expect(f.workers[1].Runs()).To(HaveLen(3))
 	})
 
+	It("are replaced by others at new addresses", func() {
+		f := up(2, 1, 1)
+		old := f.gateways[0]
+		f.kill(old)
+		next := &gatewayProc{host: "edge-new", ip: old.ip[:len(old.ip)-1] + "9"}
+		Expect(f.start(next)).To(Succeed())
+		f.gateways = []*gatewayProc{next, f.gateways[1]}
+		Expect(f.waitReady()).To(Succeed())
+		for i, g := range f.gateways {
+			served(f, g, "report", fmt.Sprint("replaced-", i)) // needs leave, which the lost one may have given
+			served(f, g, "post", fmt.Sprint("replaced-post-", i))
+		}
+		version := f.configure(nil)
+		for _, g := range f.gateways {
+			Eventually(g.log.String).Should(ContainSubstring(fmt.Sprintf(`"config":%d`, version)))
+		}
+	})
+
 	It("put a configuration in force everywhere, and none before it again", func() {
 		f := up(3, 1, 1)
 		for range 5 {
