Soak with cut connections, kept ones, drains, configurations and the retry budget

Cause: the soak had no connection between the processes and their surroundings under its hand, and did not check the order of classes, the budget of repeats, a configuration's order or draining. Change: workers and the store are reached through the cutters of the scenarios (delayed, reset, severed, silent both ways or one way); what happens to processes and to their surroundings overlaps; half of the callers keep their connections. Each gateway is asked all the while with the keys of the newest two versions; drains are checked in a calm while, repeats in sliding windows of 10 s; only requests that may wait may be shed.

--- a/e2e/cut_test.go
+++ b/e2e/cut_test.go
@@ -117,6 +117,20 @@
 	}
 }
 
+// reset resets the open connections on both sides: what is under way is lost.
+func (c *cutter) reset() {
+	for _, f := range c.open() {
+		for _, conn := range []net.Conn{f.caller, f.target} {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // it may be closed already
+			}
+		}
+		c.end(f)
+	}
+}
+
+func (c *cutter) address() string { return c.ln.Addr().String() }
+
 func (c *cutter) close() {
 	_ = c.ln.Close() // ends accept
 	c.sever()
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,19 +30,29 @@
 // fleet is a deployment of gateways on the platform's stand-ins: gateways are
 // processes, the store and the workers are in this one.
 type fleet struct {
+	fleetSize
 	dir   string
 	net   uint32
 	store *platformstore.Store
-	http  *http.Client
+	http  *http.Client // a connection for each request
+	kept  *http.Client // keeps connections
 
 	mu       sync.Mutex
 	version  int
 	gateways []*gatewayProc
 	workers  []*worker.Worker
-	started  int // workers so far
+	cutters  map[string]*cutter // before workers, by ID, and before the store, by host
+	started  int                // workers so far
 	beats    int
 }
 
+// fleetSize says how large a fleet is.
+type fleetSize struct {
+	gateways, llms, apps int
+	// proxied fleets reach workers and the store through cutters.
+	proxied bool
+}
+
 // gatewayProc is one gateway process.
 type gatewayProc struct {
 	host   string
@@ -50,8 +61,11 @@
 	log    *lockedBuffer
 	exited chan struct{}
 	code   int
+	start  atomic.Int64 // process ID of the newest start
 }
 
+func (g *gatewayProc) pid() int { return int(g.start.Load()) }
+
 // lockedBuffer keeps what a process writes.
 type lockedBuffer struct {
 	mu  sync.Mutex
@@ -70,21 +84,22 @@
 	return b.buf.String()
 }
 
-func newFleet(dir string, gateways, llms, apps int) (*fleet, error) {
-	f := &fleet{dir: dir, net: nextNet.Add(1), store: platformstore.Start(),
-		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
+func newFleet(dir string, size fleetSize) (*fleet, error) {
+	f := &fleet{fleetSize: size, dir: dir, net: nextNet.Add(1), store: platformstore.Start(), cutters: map[string]*cutter{},
+		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+		kept: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 100}}}
 	f.configure(nil)
-	for range llms {
+	for range size.llms {
 		if _, err := f.addWorker(llmService); err != nil {
 			return nil, err
 		}
 	}
-	for range apps {
+	for range size.apps {
 		if _, err := f.addWorker(appService); err != nil {
 			return nil, err
 		}
 	}
-	for i := range gateways {
+	for i := range size.gateways {
 		g := &gatewayProc{host: fmt.Sprint("edge-", i), ip: fmt.Sprintf("127.%d.%d.%d", 101+os.Getpid()%100, f.net&0xff, i+1)}
 		f.gateways = append(f.gateways, g)
 		if err := f.start(g); err != nil {
@@ -101,15 +116,55 @@
 	for _, w := range f.workers {
 		w.Close()
 	}
+	f.kept.CloseIdleConnections()
 	f.store.CloseClientConnections()
+	for _, c := range f.cutters {
+		c.close()
+	}
 	f.store.Close()
 }
 
+// through returns the address at which a target is reached: its own, or in a proxied
+// fleet that of the cutter with this name.
+func (f *fleet) through(name, target string) (string, error) {
+	if !f.proxied {
+		return target, nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cutters[name] == nil {
+		c, err := newCutter("127.0.0.1:0", target)
+		if err != nil {
+			return "", err
+		}
+		f.cutters[name] = c
+	}
+	return f.cutters[name].address(), nil
+}
+
+func (f *fleet) cutter(name string) *cutter {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cutters[name]
+}
+
+// versionStep is the step between versions: they need not follow each other.
+const versionStep = 3
+
+func (f *fleet) newestVersion() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// versionKey is a key that only this version of the configuration knows.
+func versionKey(version int) string { return fmt.Sprint("key-of-", version) }
+
 // configure writes the next version of the configuration; change may alter it.
 func (f *fleet) configure(change func(config map[string]any)) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.version += 3
+	f.version += versionStep
 	route := func(name, kind, service string, more map[string]any) map[string]any {
 		r := map[string]any{"name": name, "host": fleetHost, "path_prefix": "/" + name + "/", "kind": kind, "service": service,
 			"timeout_ms": 6000, "target_latency_ms": 300, "max_attempts": 2, "priority": 0}
@@ -129,7 +184,7 @@
 		"services": []any{map[string]any{"name": llmService, "engine": map[string]any{"slots": 64, "kv_capacity_tokens": 500000}},
 			map[string]any{"name": appService}},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "team", "api_keys": []string{fleetKey}}}}
+		"tenants": []any{map[string]any{"name": "team", "api_keys": []string{fleetKey, versionKey(f.version)}}}}
 	if change != nil {
 		change(config)
 	}
@@ -153,8 +208,7 @@
 	f.mu.Lock()
 	f.workers = append(f.workers, w)
 	f.mu.Unlock()
-	f.register(w, service, "ready")
-	return w, nil
+	return w, f.register(w, service, "ready")
 }
 
 // streamEvents is the length of a stream, with a pause that makes it last.
@@ -162,13 +216,18 @@
 
 var wholeStream = worker.Behaviour{Events: streamEvents, BreakAfter: -1, Pace: 5 * time.Millisecond}
 
-func (f *fleet) register(w *worker.Worker, service, state string) {
+func (f *fleet) register(w *worker.Worker, service, state string) error {
+	address, err := f.through(w.ID, w.Address())
+	if err != nil {
+		return err
+	}
 	f.mu.Lock()
 	f.beats++
 	n := f.beats
 	f.mu.Unlock()
-	f.store.PutJSON(platformstore.TopicServers, w.ID, map[string]any{"service": service, "address": w.Address(), "zone": "z", "slots": 64,
+	f.store.PutJSON(platformstore.TopicServers, w.ID, map[string]any{"service": service, "address": address, "zone": "z", "slots": 64,
 		"state": state, "sequence": n})
+	return nil
 }
 
 func (f *fleet) unregister(w *worker.Worker) { f.store.Put(platformstore.TopicServers, w.ID, nil) }
@@ -177,6 +236,10 @@
 
 // writeSettings writes a gateway's settings file.
 func (f *fleet) writeSettings(g *gatewayProc, graceSeconds int) error {
+	store, err := f.through(g.host, f.store.Address())
+	if err != nil {
+		return err
+	}
 	text := fmt.Sprintf(`node=%s
 ip=%s
 zone=z
@@ -191,7 +254,7 @@
 bounds.grace_s=%d
 bounds.retry_budget_ratio=0.2
 bounds.budget_window_s=10
-`, g.host, g.ip, g.ip, g.ip, f.store.Address(), graceSeconds)
+`, g.host, g.ip, g.ip, g.ip, store, graceSeconds)
 	return os.WriteFile(f.settingsFile(g), []byte(text), 0o600)
 }
 
@@ -207,6 +270,7 @@
 	if err := g.cmd.Start(); err != nil {
 		return err
 	}
+	g.start.Store(int64(g.cmd.Process.Pid))
 	go func(cmd *exec.Cmd, exited chan struct{}) {
 		_ = cmd.Wait() // the code tells
 		g.code = cmd.ProcessState.ExitCode()
@@ -263,20 +327,24 @@
 
 // ask sends a request to a gateway and reads the answer whole.
 func (f *fleet) ask(ctx context.Context, g *gatewayProc, route, id string) fleetAnswer {
+	return f.askWith(ctx, f.http, g, fleetKey, route, id)
+}
+
+func (f *fleet) askWith(ctx context.Context, client *http.Client, g *gatewayProc, key, route, id string) fleetAnswer {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.ip+":8080/"+route+"/x", strings.NewReader("body of "+id))
 	if err != nil {
 		return fleetAnswer{err: err}
 	}
 	req.Host = fleetHost
 	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("Api-Key", fleetKey)
+	req.Header.Set("Api-Key", key)
 	req.Header.Set("X-Request-Deadline", "5000")
 	if route == "report" || route == "advice" {
 		req.Header.Set("X-Model", "m")
 		req.Header.Set("X-Token-Count", "9000,100")
 		req.Header.Set("X-Prompt-Prefix", "aa:4000,"+id[len(id)-1:]+"b:5000")
 	}
-	resp, err := f.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return fleetAnswer{err: err}
 	}
--- a/e2e/gateways_test.go
+++ b/e2e/gateways_test.go
@@ -23,7 +23,7 @@
 var _ = Describe("gateways as processes", func() {
 	ctx := context.Background()
 	up := func(gateways, llms, apps int) *fleet {
-		f, err := newFleet(GinkgoT().TempDir(), gateways, llms, apps)
+		f, err := newFleet(GinkgoT().TempDir(), fleetSize{gateways: gateways, llms: llms, apps: apps})
 		if f != nil {
 			DeferCleanup(f.close)
 		}
@@ -164,7 +164,7 @@
 	It("send nothing to a worker that drains", func() {
 		f := up(2, 0, 2)
 		leaving := f.workers[0]
-		f.register(leaving, appService, "draining")
+		Expect(f.register(leaving, appService, "draining")).To(Succeed())
 		for _, g := range f.gateways {
 			Eventually(func() int {
 				before := len(leaving.Runs())
--- /dev/null
+++ b/e2e/gatewaysoak_faults_test.go
@@ -0,0 +1,151 @@
+package e2e
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/standin/platformstore"
+	"github.com/merlinpost/merlinpost/internal/standin/worker"
+)
+
+// disturbProcesses does one thing after another to gateway processes; what it does
+// depends on the seed only.
+func (s *gatewaySoak) disturbProcesses(ctx context.Context, rnd *rand.Rand) {
+	for ctx.Err() == nil {
+		g := s.gateways[rnd.IntN(len(s.gateways))]
+		pause := time.Duration(50+rnd.IntN(400)) * time.Millisecond
+		s.calm.RLock()
+		switch rnd.IntN(4) {
+		case 0:
+			s.kill(g)
+			s.restart(g)
+		case 1:
+			_ = g.cmd.Process.Signal(syscall.SIGSTOP) // may have ended
+			wait(ctx, pause)
+			_ = g.cmd.Process.Signal(syscall.SIGCONT)
+		case 2:
+			_ = g.cmd.Process.Signal(syscall.SIGTERM)
+			select {
+			case <-g.exited:
+			case <-time.After(waitLimit):
+				s.violate("%s did not stop", g.host)
+				s.kill(g)
+			}
+			s.restart(g)
+		case 3:
+			// Before its main function runs, SIGHUP ends any program.
+			if strings.Contains(g.log.String(), "gateway started") {
+				_ = g.cmd.Process.Signal(syscall.SIGHUP)
+			}
+		}
+		s.calm.RUnlock()
+		wait(ctx, pause/4)
+	}
+}
+
+// disturbSurroundings does one thing after another to the store, the workers and the
+// connections, beside what happens to processes.
+func (s *gatewaySoak) disturbSurroundings(ctx context.Context, rnd *rand.Rand) {
+	for ctx.Err() == nil {
+		g := s.gateways[rnd.IntN(len(s.gateways))]
+		i := rnd.IntN(len(s.fleet.workers))
+		w := s.fleet.workers[i]
+		pause := time.Duration(50+rnd.IntN(400)) * time.Millisecond
+		names := []string{w.ID, g.host} // connections to a worker, to the store
+		cut := s.cutter(names[rnd.IntN(len(names))])
+		switch rnd.IntN(13) {
+		case 0:
+			s.store.SetMode([]platformstore.Mode{platformstore.Busy, platformstore.Silent}[rnd.IntN(2)])
+			wait(ctx, pause)
+			s.store.SetMode(platformstore.Up)
+		case 1:
+			s.store.Forget(platformstore.TopicServers)
+			s.store.Forget(platformstore.TopicOperator)
+		case 2, 3:
+			s.configure(nil)
+		case 4:
+			w.Next(misbehaviours(w)...)
+		case 5:
+			w.CloseConnections()
+		case 6:
+			s.replace(i)
+		case 7:
+			cut.reset()
+		case 8:
+			cut.sever()
+		case 9:
+			cut.silence(true, true)
+		case 10:
+			cut.silence(rnd.IntN(2) == 0, true) // one way, or both
+		case 11:
+			cut.delay.Store(int64(pause / 10))
+			wait(ctx, pause)
+			cut.delay.Store(0)
+		case 12:
+			if rnd.IntN(3) == 0 { // it takes a while without failures
+				s.drain(ctx, i)
+			}
+		}
+		wait(ctx, pause/4)
+	}
+}
+
+// calmDown ends what lasts.
+func (s *gatewaySoak) calmDown() {
+	s.store.SetMode(platformstore.Up)
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	for _, c := range s.cutters {
+		c.delay.Store(0)
+		c.sever() // silent connections would have to be found out first
+	}
+}
+
+// misbehaviours are what a worker does with its next requests. Engines go on giving
+// streams, so that what callers are to get stays the same.
+func misbehaviours(w *worker.Worker) []worker.Behaviour {
+	events := 0
+	if serviceOf(w) == llmService {
+		events = streamEvents
+	}
+	return []worker.Behaviour{{Drop: true}, {Refuse: true},
+		{Events: events, ExtraBefore: true, BreakAfter: -1}, {Events: streamEvents, BreakAfter: 3},
+		{Events: events, Unframed: true, BreakAfter: -1}, {Events: events, NoSeal: true, BreakAfter: -1}}
+}
+
+func serviceOf(w *worker.Worker) string {
+	if strings.HasPrefix(w.ID, "i-"+llmService) {
+		return llmService
+	}
+	return appService
+}
+
+// replace ends a worker without a word and starts another of its service.
+func (s *gatewaySoak) replace(i int) {
+	old := s.fleet.workers[i]
+	next, err := s.addWorker(serviceOf(old))
+	if err != nil {
+		s.violate("no worker: %v", err)
+		return
+	}
+	s.mu.Lock()
+	s.workers = append(s.workers, next)
+	s.mu.Unlock()
+	old.Close()
+	s.unregister(old)
+	s.fleet.mu.Lock()
+	s.fleet.workers = append(s.fleet.workers[:i], s.fleet.workers[i+1:]...)
+	s.fleet.mu.Unlock()
+}
+
+func (s *gatewaySoak) restart(g *gatewayProc) {
+	s.mu.Lock()
+	s.restarts++
+	s.mu.Unlock()
+	if err := s.start(g); err != nil {
+		s.violate("%s does not start: %v", g.host, err)
+	}
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -25,6 +25,13 @@
 	Header http.Header
 	// From is the number of the first event of a stream.
 	From int
+	At   time.Time
+}
+
+// Arrival is a request that has come, whether it ran or was refused.
+type Arrival struct {
+	ID string
+	At time.Time
 }
 
 // Behaviour says what the worker does with the next requests.
@@ -66,7 +73,7 @@
 	left      int // callers that closed their connection while a request ran
 	conns     map[net.Conn]bool
 	opened    int
-	asked     int // requests that have come, refused ones too
+	arrivals  []Arrival
 }
 
 // Start returns a running worker that gives plain answers. Close ends it.
@@ -137,7 +144,14 @@
 func (w *Worker) Asked() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.asked
+	return len(w.arrivals)
+}
+
+// Arrivals returns the requests that have come, refused ones included.
+func (w *Worker) Arrivals() []Arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Arrival(nil), w.arrivals...)
 }
 
 func (w *Worker) accept() {
@@ -173,10 +187,10 @@
 	}
 }
 
-func (w *Worker) next() Behaviour {
+func (w *Worker) next(id string) Behaviour {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.asked++
+	w.arrivals = append(w.arrivals, Arrival{id, time.Now()})
 	if len(w.once) > 0 {
 		b := w.once[0]
 		w.once = w.once[1:]
@@ -194,7 +208,7 @@
 		}
 		return w.plain(c, id, http.StatusMisdirectedRequest, "X-Instance-Id: "+w.ID+"\r\n", "")
 	}
-	b := w.next()
+	b := w.next(id)
 	if b.Early {
 		ok := w.plain(c, id, http.StatusRequestEntityTooLarge, w.seal(id), "too long")
 		_, err := io.Copy(io.Discard, req.Body)
@@ -209,7 +223,7 @@
 	}
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // none is 0
 	w.mu.Lock()
-	w.runs = append(w.runs, Run{ID: id, Method: req.Method, Target: req.RequestURI, Body: string(body), Header: req.Header, From: from})
+	w.runs = append(w.runs, Run{ID: id, Method: req.Method, Target: req.RequestURI, Body: string(body), Header: req.Header, From: from, At: time.Now()})
 	w.mu.Unlock()
 	switch {
 	case b.Drop:
