Greet a router after its link is entered, so that no change of targets is missed

Ruled out: the router forgetting the list (it does so only for another incarnation). Change: the greeting is sent when the link is entered.

--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -59,7 +59,6 @@
 		return
 	}
 	p.conn = conn
-	conn.Send(p.beat())
 	a.core.post(ctx, func(now time.Time) { p.up(now) })
 	err = conn.Run(ctx, func(m wire.Message) { p.receive(ctx, m) })
 	telemetry.Count("merlinpost_links_ended_total", "code", string(fault.From(err).Code))
@@ -69,6 +68,9 @@
 func (p *peerLink) up(now time.Time) {
 	d := p.agent.core
 	d.conns[p.id] = p.conn
+	// Only now: what changes from here on is told by a poke of all links, which would
+	// have passed this one by before.
+	p.conn.Send(p.beat())
 	if p.conn.Peer().Role == "router" {
 		if old := d.core.LinkUp(now, p.id, p.conn.Peer().Name+"/"+p.conn.Peer().Incarnation); old != 0 {
 			if c := d.conns[old]; c != nil {
