One datagram socket for lending and peers; split large files; trust the soak's own parts

Cause: the receive loop and the sending of datagrams stood twice. A large run of the soak (200 gateways, 60 workers) reported 43 and 10 requests sent to draining workers: gateways whose list was 42 s old, all their calls to the store timed out. Traced: the soak's process held 15,478 of 20,000 descriptors, the accept loops of 17 of its cutters had ended with an error and nobody was told; the hosts with violations were among these 17. Ruled out: the gateways' own reading (their calls never reached the store). Change: internal/datagram; choice, keyed, cancel, link state, orders, scenario and process files of their own, code unchanged; a cutter that can't take connections fails the run as saying nothing; violations are printed with the decision lines of their request; drains that were checked are counted.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -11,7 +11,6 @@
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -64,15 +63,6 @@
 	cutters map[string]*cutter
 }
 
-// proc is one process.
-type proc struct {
-	name   string
-	args   []string
-	cmd    *exec.Cmd
-	exited chan struct{}
-	code   int
-}
-
 func newCluster(dir string, s size) *cluster {
 	if s.Domains == 0 {
 		s.Domains = 2
@@ -259,82 +249,6 @@
 	return c.run(name, "merlinpost", "router", "--config", path)
 }
 
-// run starts a process; its output goes to files in the cluster's folder.
-func (c *cluster) run(name, program string, args ...string) error {
-	p := &proc{name: name, args: append([]string{program}, args...)}
-	c.mu.Lock()
-	c.procs[name] = p
-	c.mu.Unlock()
-	return c.launch(p)
-}
-
-func (c *cluster) launch(p *proc) error {
-	logFile, err := os.OpenFile(filepath.Join(c.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer logFile.Close()
-	p.cmd = exec.Command(filepath.Join(binaries, p.args[0]), p.args[1:]...)
-	p.cmd.Stdout, p.cmd.Stderr = logFile, logFile
-	p.exited = make(chan struct{})
-	if err := p.cmd.Start(); err != nil {
-		return err
-	}
-	go func(cmd *exec.Cmd, exited chan struct{}) {
-		_ = cmd.Wait() // the exit code is read below
-		p.code = cmd.ProcessState.ExitCode()
-		close(exited)
-	}(p.cmd, p.exited)
-	return nil
-}
-
-func (c *cluster) proc(name string) (*proc, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if p := c.procs[name]; p != nil {
-		return p, nil
-	}
-	return nil, fmt.Errorf("no process %q", name)
-}
-
-func (c *cluster) signal(name string, s syscall.Signal) error {
-	p, err := c.proc(name)
-	if err != nil {
-		return err
-	}
-	return p.cmd.Process.Signal(s)
-}
-
-// waitExit waits for a process to end and returns its exit code.
-func (c *cluster) waitExit(name string) (int, error) {
-	p, err := c.proc(name)
-	if err != nil {
-		return 0, err
-	}
-	select {
-	case <-p.exited:
-		return p.code, nil
-	case <-time.After(waitLimit):
-		return 0, fmt.Errorf("%s did not end within %s", name, waitLimit)
-	}
-}
-
-func (c *cluster) kill(name string) error {
-	if err := c.signal(name, syscall.SIGKILL); err != nil {
-		return err
-	}
-	_, err := c.waitExit(name)
-	return err
-}
-
-func (c *cluster) restart(name string) error {
-	p, err := c.proc(name)
-	if err != nil {
-		return err
-	}
-	return c.launch(p)
-}
-
 // close ends every process by its id.
 func (c *cluster) close() {
 	c.mu.Lock()
--- a/e2e/cut_test.go
+++ b/e2e/cut_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -18,8 +19,12 @@
 	mu     sync.Mutex
 	flows  map[*flow]bool
 	delay  atomic.Int64 // nanoseconds added to each piece
+	failed atomic.Pointer[error]
 }
 
+// acceptAgain is the pause after a connection could not be taken.
+const acceptAgain = 10 * time.Millisecond
+
 // flow is one connection that is passed on.
 type flow struct {
 	caller, target                 net.Conn
@@ -39,9 +44,16 @@
 func (c *cutter) accept() {
 	for {
 		caller, err := c.ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// Out of descriptors, most likely: what is measured behind this cutter
+			// from now on is the test's own doing.
+			c.failed.Store(&err)
+			time.Sleep(acceptAgain)
+			continue
+		}
 		target, err := net.Dial("tcp", c.target)
 		if err != nil {
 			_ = caller.Close() // the caller sees that the target is down
--- a/e2e/gatewaysoak_checks_test.go
+++ b/e2e/gatewaysoak_checks_test.go
@@ -110,6 +110,7 @@
 			s.violate("%s reached %s %s after it was to get nothing more", a.ID, w.ID, late)
 		}
 	}
+	s.drains++
 	s.replace(i)
 }
 
--- a/e2e/gatewaysoak_test.go
+++ b/e2e/gatewaysoak_test.go
@@ -15,7 +15,7 @@
 
 var (
 	gatewaySoakFor      = flag.Duration("gateway-soak", 4*time.Second, "time that the soak of gateways lasts for each seed")
-	gatewaySoakSeed     = flag.Uint64("gateway-soak-seed", 1, "first seed of the soak of gateways")
+	gatewaySoakSeed     = flag.Uint64("gateway-soak-seed", defaultSoakSeed, "first seed of the soak of gateways; seeds that failed once are played too unless it is given")
 	gatewaySoakSeeds    = flag.Uint64("gateway-soak-seeds", 1, "number of seeds")
 	gatewaySoakGateways = flag.Int("gateway-soak-gateways", 3, "gateway processes of the soak")
 	gatewaySoakWorkers  = flag.Int("gateway-soak-workers", 7, "workers of the soak, two at least")
@@ -24,6 +24,9 @@
 	gatewaySoakBreak = flag.String("gateway-soak-break", "", "deliberate fault: double, foreign, untrue, shed, rollback, drain or budget")
 )
 
+// defaultSoakSeed is the seed of the test command.
+const defaultSoakSeed = 1
+
 // failedSeeds are seeds of the soak that failed once, with the cause that was
 // mended; each is played again by the test command.
 var failedSeeds = map[uint64]string{
@@ -45,10 +48,14 @@
 	asked      []worker.Arrival
 	answers    int
 	restarts   int
+	drains     int // that were checked
 	violations []violation
 	workers    []*worker.Worker // all that ever ran
 }
 
+// maxShown bounds the violations that are printed.
+const maxShown = 50
+
 // violation is a broken promise.
 type violation struct {
 	after time.Duration // since the start
@@ -60,8 +67,10 @@
 //
 //	go test ./e2e -run TestGatewaySoak -gateway-soak 10s -gateway-soak-seed 1 -gateway-soak-seeds 50
 func TestGatewaySoak(t *testing.T) {
-	for seed := range failedSeeds {
-		playGatewaySoak(t, seed)
+	if *gatewaySoakSeed == defaultSoakSeed {
+		for seed := range failedSeeds {
+			playGatewaySoak(t, seed)
+		}
 	}
 	for i := range *gatewaySoakSeeds {
 		playGatewaySoak(t, *gatewaySoakSeed+i)
@@ -95,17 +104,39 @@
 	s.recover()
 	s.checkRuns()
 	s.checkBudget()
-	t.Logf("seed %d: %d answers, %d told not run, %d restarts", seed, s.answers, len(s.notRun), s.restarts)
+	for name, c := range f.cutters {
+		if err := c.failed.Load(); err != nil {
+			t.Fatalf("seed %d: the soak itself could not take connections to %s: %v; its results say nothing", seed, name, *err)
+		}
+	}
+	t.Logf("seed %d: %d answers, %d told not run, %d restarts, %d drains checked", seed, s.answers, len(s.notRun), s.restarts, s.drains)
 	if len(s.violations) > 0 {
 		for _, g := range f.gateways {
 			t.Logf("log of %s:\n%s", g.host, tail(g.log.String(), 200))
 		}
 		first := s.violations[0]
+		for _, v := range s.violations[:min(len(s.violations), maxShown)] {
+			t.Logf("after %s: %s\n%s", v.after.Round(time.Millisecond), v.what, s.decision(v.what))
+		}
 		t.Errorf("seed %d: %d violations, the first after %s: %s\nagain: go test ./e2e -run TestGatewaySoak -gateway-soak %s -gateway-soak-seed %d",
 			seed, len(s.violations), first.after.Round(time.Millisecond), first.what, *gatewaySoakFor, seed)
 	}
 }
 
+// decision returns the gateways' lines about the request that a violation begins with.
+func (s *gatewaySoak) decision(violation string) string {
+	id, _, _ := strings.Cut(violation, " ")
+	var out []string
+	for _, g := range s.gateways {
+		for _, line := range strings.Split(g.log.String(), "\n") {
+			if strings.Contains(line, `"id":"`+id+`"`) {
+				out = append(out, g.host+" "+line)
+			}
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
 func tail(text string, lines int) string {
 	all := strings.Split(text, "\n")
 	return strings.Join(all[max(0, len(all)-lines):], "\n")
--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -7,14 +7,11 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
-	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/datagram"
 	"github.com/merlinpost/merlinpost/internal/quota"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
@@ -22,15 +19,13 @@
 const (
 	// askTimeout bounds the wait for the home on the request path.
 	askTimeout = 100 * time.Millisecond
-	// maxDatagram is above any ask or answer.
-	maxDatagram = 1024
 	// askRing is how many asks wait for the ledger.
 	askRing = 1024
 )
 
-// datagram is an ask, an answer, the end of a request, or the name of a router
+// message is an ask, an answer, the end of a request, or the name of a router
 // that is there.
-type datagram struct {
+type message struct {
 	Ask    *quota.Ask
 	Lent   *quota.Lent
 	Closed *quota.Closed
@@ -46,8 +41,8 @@
 
 // Post sends and receives asks on one UDP socket.
 type Post struct {
-	conn *net.UDPConn
-	home Home
+	socket *datagram.Socket[message]
+	home   Home
 
 	mu      sync.Mutex
 	waiting map[uint64]chan quota.Lent
@@ -55,19 +50,15 @@
 
 // Open listens on an IP address and port; home takes in what others send.
 func Open(address string, home Home) (*Post, error) {
-	at, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, fault.New(fault.BadSettings, "%w", err).InField("peers.listen")
-	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	socket, err := datagram.Open[message](address, "merlinpost_lending")
 	if err != nil {
-		return nil, fault.New(fault.BadSettings, "%w", err).InField("peers.listen")
+		return nil, err
 	}
-	return &Post{conn: conn, home: home, waiting: map[uint64]chan quota.Lent{}}, nil
+	return &Post{socket: socket, home: home, waiting: map[uint64]chan quota.Lent{}}, nil
 }
 
 // Address returns the address in use.
-func (p *Post) Address() string { return p.conn.LocalAddr().String() }
+func (p *Post) Address() string { return p.socket.Address().String() }
 
 // asked is an ask and where to send the answer.
 type asked struct {
@@ -77,49 +68,32 @@
 
 // Run receives until ctx ends: one goroutine reads, one answers.
 func (p *Post) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() }) // ends the reader
-	defer stop()
 	asks := make(chan asked, askRing)
 	var answering sync.WaitGroup
 	answering.Go(func() {
 		for a := range asks {
 			lent := p.home.Lend(a.ask)
-			p.send(datagram{Lent: &lent}, a.from)
+			p.socket.Send(message{Lent: &lent}, a.from)
 		}
 	})
-	p.read(ctx, asks)
+	p.socket.Receive(ctx, func(m message, from netip.AddrPort) { p.take(m, from, asks) })
 	close(asks)
 	answering.Wait()
 }
 
-func (p *Post) read(ctx context.Context, asks chan<- asked) {
-	buf := make([]byte, maxDatagram)
-	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			continue // an earlier datagram met a closed port
-		}
-		var d datagram
-		if msgpack.Unmarshal(buf[:n], &d) != nil {
-			telemetry.Count("merlinpost_lending_broken_total")
-			continue
-		}
-		switch {
-		case d.Ping != "":
-			p.home.Heard(d.Ping)
-		case d.Closed != nil:
-			p.home.Close(*d.Closed)
-		case d.Lent != nil:
-			p.settle(*d.Lent)
-		case d.Ask != nil:
-			select {
-			case asks <- asked{*d.Ask, from}:
-			default:
-				telemetry.Count("merlinpost_lending_overrun_total")
-			}
+func (p *Post) take(m message, from netip.AddrPort, asks chan<- asked) {
+	switch {
+	case m.Ping != "":
+		p.home.Heard(m.Ping)
+	case m.Closed != nil:
+		p.home.Close(*m.Closed)
+	case m.Lent != nil:
+		p.settle(*m.Lent)
+	case m.Ask != nil:
+		select {
+		case asks <- asked{*m.Ask, from}:
+		default:
+			telemetry.Count("merlinpost_lending_overrun_total")
 		}
 	}
 }
@@ -133,27 +107,17 @@
 	}
 }
 
-func (p *Post) send(d datagram, to netip.AddrPort) {
-	data, err := msgpack.Marshal(d)
-	if err == nil {
-		_, err = p.conn.WriteToUDPAddrPort(data, to)
-	}
-	if err != nil {
-		telemetry.Count("merlinpost_lending_unsent_total")
-	}
-}
-
 // Ping tells the router at an address that the named one reaches it.
 func (p *Post) Ping(address, self string) {
 	if to, err := netip.ParseAddrPort(address); err == nil {
-		p.send(datagram{Ping: self}, to)
+		p.socket.Send(message{Ping: self}, to)
 	}
 }
 
 // Close tells the home at an address that a request ended.
 func (p *Post) Close(address string, c quota.Closed) {
 	if to, err := netip.ParseAddrPort(address); err == nil {
-		p.send(datagram{Closed: &c}, to)
+		p.socket.Send(message{Closed: &c}, to)
 	}
 }
 
@@ -168,7 +132,7 @@
 	p.mu.Lock()
 	p.waiting[ask.Seq] = ch
 	p.mu.Unlock()
-	p.send(datagram{Ask: &ask}, to)
+	p.socket.Send(message{Ask: &ask}, to)
 	timer := time.NewTimer(askTimeout)
 	defer timer.Stop()
 	select {
--- a/internal/peers/beats.go
+++ b/internal/peers/beats.go
@@ -68,7 +68,7 @@
 	}
 	p.mu.Unlock()
 	for _, address := range to {
-		p.send(datagram{Beat: &b}, address)
+		p.send(message{Beat: &b}, address)
 	}
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -8,14 +8,11 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
-	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/datagram"
 	"github.com/merlinpost/merlinpost/internal/permit"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
@@ -26,12 +23,10 @@
 	busyTick, idleTick = 20 * time.Millisecond, 100 * time.Millisecond
 	// ring is how many datagrams wait to be taken in.
 	ring = 1024
-	// maxDatagram is above any message, in bytes.
-	maxDatagram = 1200
 )
 
-// datagram is one message. Exactly one field is set.
-type datagram struct {
+// message is one datagram. Exactly one field is set.
+type message struct {
 	Beat       *beat          `msgpack:"b,omitempty"`
 	Ask        *ask           `msgpack:"a,omitempty"`
 	Answer     *permit.Answer `msgpack:"v,omitempty"`
@@ -71,13 +66,13 @@
 
 // received is a datagram and its sender.
 type received struct {
-	datagram
+	message
 	from netip.AddrPort
 }
 
 // Peers is this gateway among the others. It is safe for concurrent use.
 type Peers struct {
-	conn   *net.UDPConn
+	socket *datagram.Socket[message]
 	self   netip.AddrPort
 	logger *slog.Logger
 	local  Local
@@ -97,16 +92,12 @@
 // Open opens the socket of the gateway on host, which is local and may use so many
 // cores, at an IP address and port.
 func Open(host, address string, cores float64, local Local, logger *slog.Logger) (*Peers, error) {
-	at, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, fault.New(fault.BadSettings, "%w", err).InField("peers.listen")
-	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	socket, err := datagram.Open[message](address, "merlinpost_peer_datagrams")
 	if err != nil {
-		return nil, fault.New(fault.BadSettings, "%w", err).InField("peers.listen")
+		return nil, err
 	}
-	self := conn.LocalAddr().(*net.UDPAddr).AddrPort()
-	return &Peers{conn: conn, self: self, logger: logger, local: local, in: make(chan received, ring),
+	self := socket.Address()
+	return &Peers{socket: socket, self: self, logger: logger, local: local, in: make(chan received, ring),
 		desk:    permit.NewDesk[netip.AddrPort](local.Engines),
 		members: newMembers(Member{host, self, cores}, time.Now()), waiting: map[string]chan permit.Answer{}}, nil
 }
@@ -120,9 +111,11 @@
 
 // Run takes part until ctx ends: one goroutine receives, this one decides.
 func (p *Peers) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() }) // ends the receiver
-	defer stop()
-	go p.receive(ctx)
+	var receiving sync.WaitGroup
+	defer receiving.Wait()
+	receiving.Go(func() {
+		p.socket.Receive(ctx, func(m message, from netip.AddrPort) { p.post(received{m, from}) })
+	})
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
 	for {
@@ -146,25 +139,6 @@
 	}
 }
 
-func (p *Peers) receive(ctx context.Context) {
-	buf := make([]byte, maxDatagram)
-	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			continue // an earlier datagram met a closed port
-		}
-		var d datagram
-		if msgpack.Unmarshal(buf[:n], &d) != nil {
-			telemetry.Count("merlinpost_peer_datagrams_broken_total")
-			continue
-		}
-		p.post(received{d, from})
-	}
-}
-
 // post hands a datagram to Run; when too many wait it counts as lost.
 func (p *Peers) post(r received) {
 	select {
@@ -176,18 +150,12 @@
 
 // send sends a datagram; to this gateway itself it goes without the socket. One
 // that can't be sent counts as lost.
-func (p *Peers) send(d datagram, to netip.AddrPort) {
+func (p *Peers) send(m message, to netip.AddrPort) {
 	if to == p.self {
-		p.post(received{d, p.self})
+		p.post(received{m, p.self})
 		return
 	}
-	data, err := msgpack.Marshal(d)
-	if err == nil {
-		_, err = p.conn.WriteToUDPAddrPort(data, to)
-	}
-	if err != nil {
-		telemetry.Count("merlinpost_peer_datagrams_unsent_total")
-	}
+	p.socket.Send(m, to)
 }
 
 func (p *Peers) take(r received, now time.Time) {
@@ -212,7 +180,7 @@
 		p.settle(a)
 		return
 	}
-	p.send(datagram{Answer: &a}, to)
+	p.send(message{Answer: &a}, to)
 }
 
 // settle hands an answer to the request that waits for it.
--- a/internal/peers/permits.go
+++ b/internal/peers/permits.go
@@ -34,7 +34,7 @@
 // FirstToken and End tell the home how far the request is.
 func (l Leave) FirstToken() {
 	if l.peers != nil {
-		l.peers.send(datagram{FirstToken: &notice{Group: l.group, ID: l.id}}, l.home)
+		l.peers.send(message{FirstToken: &notice{Group: l.group, ID: l.id}}, l.home)
 	}
 }
 
@@ -42,7 +42,7 @@
 // blame.
 func (l Leave) End(failed bool) {
 	if l.peers != nil {
-		l.peers.send(datagram{End: &notice{Group: l.group, ID: l.id, Failed: failed}}, l.home)
+		l.peers.send(message{End: &notice{Group: l.group, ID: l.id, Failed: failed}}, l.home)
 	}
 }
 
@@ -85,24 +85,24 @@
 	asked time.Time
 }
 
-// datagram is the question as it is to be sent now.
-func (q question) datagram() datagram {
+// message is the question as it is to be sent now.
+func (q question) message() message {
 	a, elapsed := q.ask, time.Since(q.asked)
 	a.Target -= elapsed
 	a.Limit = max(a.Limit-elapsed, time.Millisecond)
-	return datagram{Ask: &ask{q.group, a}}
+	return message{Ask: &ask{q.group, a}}
 }
 
 // askHome asks one home; false when it gives no answer.
 func (p *Peers) askHome(ctx context.Context, home netip.AddrPort, q question, ch <-chan permit.Answer) (permit.Answer, bool) {
-	p.send(q.datagram(), home)
+	p.send(q.message(), home)
 	silent := 0
 	timer := time.NewTimer(answerTimeout)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			p.send(datagram{End: &notice{Group: q.group, ID: q.ask.ID}}, home)
+			p.send(message{End: &notice{Group: q.group, ID: q.ask.ID}}, home)
 			return permit.Answer{ID: q.ask.ID, Verdict: permit.Refused}, true
 		case answer := <-ch:
 			if answer.Verdict != permit.Queued {
@@ -114,7 +114,7 @@
 			if silent++; silent > maxSilence {
 				return permit.Answer{}, false
 			}
-			p.send(q.datagram(), home)
+			p.send(q.message(), home)
 			timer.Reset(answerTimeout)
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -289,46 +289,6 @@
 	m.finish(e, nil)
 }
 
-// LinkDown says that the link to the agent is gone.
-func (m *Machine) LinkDown() {
-	if m.state == finished || m.state == parked || !m.linkUp {
-		return
-	}
-	m.linkUp = false
-	m.fx.Arm(TimerAnswer, 0)
-	if m.state == cancelling {
-		return // its timer runs
-	}
-	m.fx.Arm(TimerLost, m.cfg.Lost)
-}
-
-// LinkUp says that the agent is reached again; same is false if it restarted
-// and so forgot the attempt.
-func (m *Machine) LinkUp(same bool) {
-	if m.state == finished || m.state == parked || m.linkUp {
-		return
-	}
-	m.linkUp = true
-	m.fx.Arm(TimerLost, 0)
-	switch {
-	case !same && m.state == cancelling:
-		m.settleCancel(true)
-	case !same:
-		m.lost("the agent restarted")
-	case m.state == cancelling:
-		m.fx.Send(&wire.Cancel{ID: m.id, Attempt: m.attempt})
-	default:
-		m.fx.Arm(TimerAnswer, m.cfg.Answer)
-		m.resume()
-	}
-}
-
-// lost gives up on the present attempt, which may have run.
-func (m *Machine) lost(why string) {
-	m.fx.Abandon(m.attempt)
-	m.attemptFailed(fault.New(fault.LinkLost, "%s", why).With(fault.Unknown))
-}
-
 // Timeout takes in a timer that ran out.
 func (m *Machine) Timeout(t Timer) {
 	if m.state == finished {
@@ -357,57 +317,6 @@
 	}
 }
 
-// cancel withdraws the present attempt and ends with cause once the agent has
-// said whether it ran.
-func (m *Machine) cancel(cause *fault.Error) {
-	if m.state == cancelling {
-		return
-	}
-	m.cause = cause
-	if m.state == parked {
-		m.finish(nil, cause)
-		return
-	}
-	m.state = cancelling
-	m.fx.Arm(TimerCancel, m.cfg.Cancel)
-	m.fx.Send(&wire.Cancel{ID: m.id, Attempt: m.attempt})
-	if !m.linkUp {
-		m.fx.Abandon(m.attempt)
-		m.settleCancel(true) // decided: no reason to keep the caller waiting
-	}
-}
-
-// Cancelled takes in the agent's word on a cancel.
-func (m *Machine) Cancelled(c *wire.Cancelled) {
-	if m.mine(c.Attempt) && m.state == cancelling {
-		m.settleCancel(c.Ran)
-	}
-}
-
-func (m *Machine) settleCancel(ran bool) {
-	if ran {
-		m.unsettled++
-	}
-	m.finish(nil, m.cause)
-}
-
-// CallerGone says that nobody waits for the answer any more.
-func (m *Machine) CallerGone() {
-	if m.state == finished {
-		return
-	}
-	if m.state == parked {
-		m.finish(nil, fault.New(fault.Cancelled, "the caller went away"))
-		return
-	}
-	m.fx.Send(&wire.Cancel{ID: m.id, Attempt: m.attempt})
-	if !m.linkUp {
-		m.fx.Abandon(m.attempt)
-	}
-	m.unsettled++
-	m.finish(nil, fault.New(fault.Cancelled, "the caller went away"))
-}
-
 // finish gives the final word with the outcome that is true of all attempts.
 func (m *Machine) finish(end *wire.End, e *fault.Error) {
 	m.state = finished
