--- a/e2e/gateways_test.go
+++ b/e2e/gateways_test.go
@@ -125,6 +125,22 @@
 		Expect(f.workers[1].Runs()).To(HaveLen(3))
 	})
 
+	It("serve every kind of request as soon as they are ready when all were killed together", func() {
+		f := up(12, 3, 2)
+		for _, g := range f.gateways {
+			f.kill(g)
+		}
+		for _, g := range f.gateways {
+			Expect(f.start(g)).To(Succeed())
+		}
+		Expect(f.waitReady()).To(Succeed())
+		for i, g := range f.gateways {
+			for _, route := range []string{"post", "list", "advice", "report"} {
+				served(f, g, route, fmt.Sprint("again-", i))
+			}
+		}
+	})
+
 	It("are replaced by others at new addresses", func() {
 		f := up(2, 1, 1)
 		old := f.gateways[0]
