Close callers' idle connections ourselves at a stop

Ruled out: the backend server, which ran the request and was cut; the grace time, which had 7.9 s left. Change: callers' connections know whether anything was read since they became idle; reading and closing exclude each other.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,28 +26,102 @@
 	maxBodies = 46 << 20
 )
 
-// callerListener wraps accepted connections, so that the time limits of the
-// configuration in force apply to them from the next request on.
-type callerListener struct {
+// callerConns are the open connections of callers. A stop closes those that are idle,
+// and the others when they become so. net/http's own way of doing this may close a
+// connection on which it has just read a request: it looks at the connection's state and
+// closes it in two steps, and the request is then passed on to a backend server while its
+// caller gets no answer.
+type callerConns struct {
 	net.Listener
 	limits func() routing.Limits
+
+	mu       sync.Mutex
+	open     map[*callerConn]struct{}
+	retiring bool
+}
+
+func newCallerConns(l net.Listener, limits func() routing.Limits) *callerConns {
+	return &callerConns{Listener: l, limits: limits, open: map[*callerConn]struct{}{}}
 }
 
 // Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
+func (l *callerConns) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, limits: l.limits}, nil
+	caller := &callerConn{Conn: c, owner: l}
+	l.mu.Lock()
+	l.open[caller] = struct{}{}
+	l.mu.Unlock()
+	return caller, nil
+}
+
+// retire closes the idle connections, and from now on each that becomes idle.
+func (l *callerConns) retire() {
+	l.mu.Lock()
+	l.retiring = true
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	for _, c := range open {
+		c.closeIfIdle()
+	}
 }
 
+// changed is net/http's hook for changes of a connection's state.
+func (l *callerConns) changed(c net.Conn, state http.ConnState) {
+	caller, ok := c.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		caller.state.Store(connIdle)
+		caller.keptAlive.Store(true)
+		l.mu.Lock()
+		retiring := l.retiring
+		l.mu.Unlock()
+		if retiring {
+			caller.closeIfIdle()
+		}
+	case http.StateClosed, http.StateHijacked:
+		l.mu.Lock()
+		delete(l.open, caller)
+		l.mu.Unlock()
+	}
+}
+
+// The states of a caller's connection.
+const (
+	connBusy    int32 = iota // a request is expected, being read or in progress
+	connIdle                 // kept after an answer, and nothing was read since
+	connRetired              // closed by us while idle: nothing that comes is read
+)
+
 // callerConn replaces the fixed read deadlines that net/http sets by those of
-// the configuration in force.
+// the configuration in force, and knows whether anything was read since it became idle.
 type callerConn struct {
 	net.Conn
-	limits func() routing.Limits
-	idle   atomic.Bool
+	owner     *callerConns
+	state     atomic.Int32
+	keptAlive atomic.Bool // the next read deadline is that of an idle connection
+}
+
+// Read implements net.Conn. The first bytes after an idle time and closeIfIdle exclude
+// each other: either the request is read and the connection stays, or it is closed and
+// the request was never read.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.state.CompareAndSwap(connIdle, connBusy) && c.state.Load() == connRetired {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *callerConn) closeIfIdle() {
+	if c.state.CompareAndSwap(connIdle, connRetired) {
+		_ = c.Conn.Close() // what it held is of no use to anybody
+	}
 }
 
 // SetReadDeadline implements net.Conn. net/http sets a deadline in the future
@@ -54,9 +131,9 @@
 	if t.IsZero() || !t.After(now) {
 		return c.Conn.SetReadDeadline(t)
 	}
-	limits := c.limits()
+	limits := c.owner.limits()
 	bound := orDefault(limits.HeaderTimeout, defaultHeaderTimeout)
-	if c.idle.CompareAndSwap(true, false) {
+	if c.keptAlive.CompareAndSwap(true, false) {
 		bound = orDefault(limits.IdleTimeout, defaultIdleTimeout)
 	}
 	return c.Conn.SetReadDeadline(now.Add(bound))
@@ -69,13 +146,6 @@
 	return otherwise
 }
 
-// connState is net/http's hook for changes of a connection's state.
-func connState(c net.Conn, state http.ConnState) {
-	if caller, ok := c.(*callerConn); ok {
-		caller.idle.Store(state == http.StateIdle)
-	}
-}
-
 // limits returns the limits of the configuration in force.
 func (g *Gateway) limits() routing.Limits {
 	if t := g.table.Load(); t != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -35,15 +35,16 @@
 	if err != nil {
 		return err
 	}
+	conns := newCallerConns(callers, g.limits)
 	server := &http.Server{Handler: g, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: connState, ErrorLog: discardLog()}
+		MaxHeaderBytes: maxHeaderBytes, ConnState: conns.changed, ErrorLog: discardLog()}
 	failed := make(chan error, 3)
 	serve := func(s *http.Server, l net.Listener) {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
 	}
-	go serve(server, callerListener{callers, g.limits})
+	go serve(server, conns)
 	go serve(&http.Server{Handler: g.checks(), ErrorLog: discardLog()}, checks)
 	if g.settings.Load().Metrics != "" {
 		page, err := net.Listen("tcp", g.settings.Load().Metrics)
@@ -61,7 +62,7 @@
 		return nil
 	case <-stop:
 	}
-	g.drain(ctx, server, callers)
+	g.drain(ctx, conns)
 	return nil
 }
 
@@ -78,13 +79,12 @@
 
 // drain stops gracefully: not ready at once, callers served until the balancer
 // has noticed, and what was read finished within the grace time.
-func (g *Gateway) drain(ctx context.Context, server *http.Server, callers net.Listener) {
+func (g *Gateway) drain(ctx context.Context, conns *callerConns) {
 	begin := g.now()
 	end := begin.Add(g.settings.Load().DrainGrace - stopMargin)
 	g.stopping.Store(true)
 	g.logger.Info("stopping", "in_flight", g.inFlight.Load(), "grace", g.settings.Load().DrainGrace)
-	// Answers tell callers to close; idle connections are closed now.
-	server.SetKeepAlivesEnabled(false)
+	conns.retire() // answers from now on tell their callers to close
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
 	listening := true
@@ -96,7 +96,7 @@
 		}
 		now := g.now()
 		if listening && now.Sub(begin) >= notReadyFor {
-			_ = callers.Close() // only a listener that is closed already fails
+			_ = conns.Close() // only a listener that is closed already fails
 			listening = false
 		}
 		if !now.Before(end.Add(-answerMargin)) {
