--- a/internal/peers/findings.go
+++ b/internal/peers/findings.go
@@ -104,6 +104,13 @@
 	return p.findings.topic(topic).heard.since
 }
 
+// Heard returns the state of a topic that another gateway told last, 0 for none.
+func (p *Peers) Heard(topic string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.findings.topic(topic).heard.state
+}
+
 // Confirmed returns when the state that this gateway has of a topic was last
 // found to be the newest, and a channel that is closed when another gateway finds
 // a newer one.
--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -11,10 +11,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/merlinpost/merlinpost/internal/standin"
 )
 
 // Topics of the operator and of the backend servers.
@@ -60,6 +63,46 @@
 	reads   int
 	// PageSize is the number of records on a page of the newest ones.
 	PageSize int
+	link     sync.Mutex // held while a piece of a reply is on its way
+	perPiece time.Duration
+}
+
+// pieceBytes is how much of a reply crosses a slow link at once.
+const pieceBytes = 8 << 10
+
+// SetLink has replies cross one link of so many bits a second together; 0 for a link
+// that takes no time.
+func (s *Store) SetLink(bitsPerSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.perPiece = 0
+	if bitsPerSecond > 0 {
+		s.perPiece = time.Duration(8 * pieceBytes / bitsPerSecond * float64(time.Second))
+	}
+}
+
+// reply writes a reply at the pace of the link.
+func (s *Store) reply(w http.ResponseWriter, r *http.Request, body []byte) {
+	s.mu.Lock()
+	perPiece := s.perPiece
+	s.mu.Unlock()
+	flusher := http.NewResponseController(w)
+	for len(body) > 0 {
+		n := len(body)
+		if perPiece > 0 {
+			n = min(n, pieceBytes)
+			s.link.Lock()
+			alive := standin.Pause(r.Context(), perPiece*time.Duration(n)/pieceBytes)
+			s.link.Unlock()
+			if !alive {
+				return
+			}
+		}
+		if _, err := w.Write(body[:n]); err != nil || flusher.Flush() != nil {
+			return // the caller has left
+		}
+		body = body[n:]
+	}
 }
 
 // Start returns a running store without records. Close ends it.
@@ -179,9 +222,9 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case from < end || !waiting:
-			body := frames(end, t.first, t.records[min(from-t.first, int64(len(t.records))):])
+			body := frames(end, t.first, t.records[min(from-t.first, int64(len(t.records))):], maxBytes(query))
 			s.mu.Unlock()
-			_, _ = w.Write(body)
+			s.reply(w, r, body)
 			return
 		}
 		s.mu.Unlock()
@@ -228,10 +271,23 @@
 	_, _ = io.WriteString(w, `{"offset":0,"end_offset":1}`)
 }
 
-func frames(end, first int64, records []record) []byte {
+// maxBytes is how much a read returns at most.
+func maxBytes(query url.Values) int {
+	kb, err := strconv.Atoi(query.Get("max_kb"))
+	if err != nil {
+		kb = 1024
+	}
+	return kb << 10
+}
+
+// frames encodes records up to about most bytes, the first one whatever its size.
+func frames(end, first int64, records []record, most int) []byte {
 	out := binary.BigEndian.AppendUint64(nil, uint64(end))
 	out = binary.BigEndian.AppendUint64(out, uint64(first))
-	for _, r := range records {
+	for i, r := range records {
+		if i > 0 && len(out)+len(r.value) > most {
+			break
+		}
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(r.key)+len(r.value)))
 		out = append(out, byte(len(r.key)))
 		out = append(out, r.key...)
@@ -272,5 +328,9 @@
 		page.Items = append(page.Items, item{key, base64.StdEncoding.EncodeToString(n.value), n.offset})
 	}
 	s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(page) // a caller that has left needs no page
+	body, err := json.Marshal(page)
+	if err != nil {
+		panic(err) // strings and numbers
+	}
+	s.reply(w, r, body)
 }
