Entries by other writers name no server; a server may start again under its ID

Cause: an entry that could not be read was dropped by a whole read of the list and left the entry before in force when it came as a change; missing fields were taken as zero. Nothing told one start of a server from the next under the same ID, so that its load, failures, pauses, shared parts, permits and idle connections outlived the process. The stated start is part of what names a server for permits, its state begins anew, and idle connections to the old process are closed. Ruled out: cutting requests in progress at the old start; their connections end by themselves and nothing is cut on another writer's word.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -142,6 +142,17 @@
 	return f.cutters[name].address(), nil
 }
 
+// forgetCutter has the next use of a name get a cutter of its own; the old one stays
+// until the fleet closes.
+func (f *fleet) forgetCutter(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.cutters[name]; c != nil {
+		f.cutters[fmt.Sprintf("%s before %d", name, len(f.cutters))] = c
+		delete(f.cutters, name)
+	}
+}
+
 func (f *fleet) cutter(name string) *cutter {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -226,7 +237,7 @@
 	n := f.beats
 	f.mu.Unlock()
 	f.store.PutJSON(platformstore.TopicServers, w.ID, map[string]any{"service": service, "address": address, "zone": "z", "slots": 64,
-		"state": state, "sequence": n})
+		"version": "v1", "cold_remaining_ms": 0, "state": state, "sequence": n, "born": w.Born})
 	return nil
 }
 
--- a/e2e/gatewaysoak_faults_test.go
+++ b/e2e/gatewaysoak_faults_test.go
@@ -56,7 +56,7 @@
 		pause := time.Duration(50+rnd.IntN(400)) * time.Millisecond
 		names := []string{w.ID, g.host} // connections to a worker, to the store
 		cut := s.cutter(names[rnd.IntN(len(names))])
-		switch rnd.IntN(13) {
+		switch rnd.IntN(15) {
 		case 0:
 			s.store.SetMode([]platformstore.Mode{platformstore.Busy, platformstore.Silent}[rnd.IntN(2)])
 			wait(ctx, pause)
@@ -88,6 +88,10 @@
 			if rnd.IntN(3) == 0 { // it takes a while without failures
 				s.drain(ctx, i)
 			}
+		case 13:
+			s.startAgain(ctx, i, rnd.IntN(2) == 0, time.Duration(rnd.IntN(3))*pause)
+		case 14:
+			s.spoilEntry(ctx, w, pause)
 		}
 		wait(ctx, pause/4)
 	}
@@ -149,3 +153,44 @@
 		s.violate("%s does not start: %v", g.host, err)
 	}
 }
+
+// startAgain ends a worker without a word and starts it again under its ID after a
+// while, where it was or at another address.
+func (s *gatewaySoak) startAgain(ctx context.Context, i int, elsewhere bool, after time.Duration) {
+	old := s.fleet.workers[i]
+	old.Close()
+	wait(ctx, after)
+	address := old.Address()
+	if elsewhere {
+		address = "127.0.0.1:0"
+		s.forgetCutter(old.ID)
+	}
+	next, err := worker.StartAt(old.ID, address)
+	if err != nil {
+		s.violate("the worker %s does not start again: %v", old.ID, err)
+		return
+	}
+	if serviceOf(next) == llmService {
+		next.Behave(wholeStream)
+	}
+	next.Born = max(next.Born, old.Born+1)
+	s.fleet.mu.Lock()
+	s.fleet.workers[i] = next
+	s.fleet.mu.Unlock()
+	s.mu.Lock()
+	s.workers = append(s.workers, next)
+	s.mu.Unlock()
+	if err := s.register(next, serviceOf(next), "ready"); err != nil {
+		s.violate("the worker %s is not listed again: %v", old.ID, err)
+	}
+}
+
+// spoilEntry has another writer overwrite a worker's entry for a while.
+func (s *gatewaySoak) spoilEntry(ctx context.Context, w *worker.Worker, pause time.Duration) {
+	s.store.Put(platformstore.TopicServers, w.ID, []byte(`{"service":"`+serviceOf(w)+`","address":7,"state":"ready"`))
+	s.store.Put(platformstore.TopicServers, "someone-else", []byte{0, 255})
+	wait(ctx, pause)
+	if err := s.register(w, serviceOf(w), "ready"); err != nil {
+		s.violate("the worker %s is not listed again: %v", w.ID, err)
+	}
+}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -134,6 +134,16 @@
 		Expect(server.Opened()).To(Equal(2))
 	})
 
+	It("keeps no connection to a process that is known to have ended", func() {
+		_, _, err := do("a", "")
+		Expect(err).NotTo(HaveOccurred())
+		pool.Forget(server.Address())
+		pool.Forget("10.0.0.1:80")
+		_, _, err = do("b", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.Opened()).To(Equal(2))
+	})
+
 	It("sends a request that may run only once on a fresh connection", func() {
 		_, _, err := do("a", "")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -127,6 +127,17 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// Forget closes the idle connections to an address: the process behind them has ended,
+// and a request sent on one of them might have run for all that anybody could tell.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		c.close()
+	}
+	delete(p.idle, address)
+}
+
 // Sweep closes connections that are too old to be used. It is called every
 // second or so.
 func (p *Pool) Sweep() {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -61,7 +61,7 @@
 		if err != nil {
 			return firstOf(last, err)
 		}
-		tried[choice.Candidate.Server.ID] = true
+		tried[choice.Candidate.Server.Start()] = true
 		result, err := g.sendTo(ctx, q, choice, leave, rel)
 		switch result {
 		case delivered:
@@ -169,7 +169,7 @@
 	out := make([]placement.Candidate, len(backends))
 	for i, b := range backends {
 		s := b.Server()
-		out[i] = placement.Candidate{Backend: b, Server: s, View: b.View(now), Tried: tried[s.ID]}
+		out[i] = placement.Candidate{Backend: b, Server: s, View: b.View(now), Tried: tried[s.Start()]}
 	}
 	return out
 }
@@ -213,7 +213,7 @@
 		g.judge(ctx, b, resp.Status, result)
 	}
 	failed = ctx.Err() == nil && (result != delivered || resp.Status >= http.StatusInternalServerError)
-	s := send{Server: server.ID, Reason: choice.Reason, Fetch: choice.FetchFrom, Result: outcomeNames[result],
+	s := send{Server: server.Start(), Reason: choice.Reason, Fetch: choice.FetchFrom, Result: outcomeNames[result],
 		Running: choice.Candidate.View.Running, Unread: choice.Candidate.View.Unread,
 		At: sentAt.Sub(q.start), Took: g.now().Sub(sentAt)}
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,7 @@
 		budgets: map[string]*retrybudget.Budget{}, demands: map[string]*placement.Demand{},
 		answers: map[string]*placement.AnswerTime{},
 	}
+	servers.OnRestart(g.pool.Forget)
 	g.settings.Store(&set)
 	g.ending, g.endNow = context.WithCancel(context.Background())
 	return g
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -61,7 +61,7 @@
 	var out []permit.Engine
 	for _, c := range candidates {
 		if placement.GroupOf(c.Server.ID, groups) == group.Index {
-			out = append(out, permit.Engine{ID: c.Server.ID, Open: true, Spare: !batch[c.Server.ID]})
+			out = append(out, permit.Engine{ID: c.Server.Start(), Open: true, Spare: !batch[c.Server.ID]})
 		}
 	}
 	return out
@@ -161,7 +161,7 @@
 	var out []string
 	for _, c := range candidates {
 		if c.Tried || c.View.Avoided {
-			out = append(out, c.Server.ID)
+			out = append(out, c.Server.Start())
 		}
 	}
 	return out[:min(len(out), maxAvoided)]
@@ -174,9 +174,9 @@
 	for i := range candidates {
 		c := &candidates[i]
 		switch {
-		case c.Server.ID == answer.Engine && !c.Tried && !c.View.Avoided:
+		case c.Server.Start() == answer.Engine && !c.Tried && !c.View.Avoided:
 			choice.Candidate = c
-		case c.Server.ID == answer.FetchFrom && !c.View.Avoided:
+		case c.Server.Start() == answer.FetchFrom && !c.View.Avoided:
 			choice.FetchFrom = c.Server.Address
 		}
 	}
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -71,6 +71,23 @@
 		Expect(d.asks[1].ID).NotTo(Equal(d.asks[0].ID))
 	})
 
+	It("asks again when the engine has started again while it waited", func() {
+		r, d := before(2, granted("i-0"), granted("i-0@2000"))
+		d.during = func() {
+			r.servers.Apply([]registry.Change{{ID: "i-0", Server: &registry.Server{ID: "i-0", Service: "s",
+				Address: r.workers[0].Address(), Slots: 8, Started: 2000}}}, time.Now(), time.Time{})
+		}
+		r.servers.Apply([]registry.Change{{ID: "i-0", Server: &registry.Server{ID: "i-0", Service: "s",
+			Address: r.workers[0].Address(), Slots: 8, Started: 1000}}}, time.Now(), time.Time{})
+		Expect(r.post("/report/x", "r1").status).To(Equal(200))
+		Expect(d.asks).To(HaveLen(2)) // "i-0" names no start that is listed
+		Expect(d.asks[1].Avoid).To(ContainElement("i-0"))
+		Expect(r.workers[0].Runs()).To(HaveLen(1))
+		for _, e := range r.gateway.Engines(permit.Group{Service: "s"}) {
+			Expect(e.ID).To(BeElementOf("i-0@2000", "i-1"))
+		}
+	})
+
 	It("does not go on asking for ever", func() {
 		r, d := before(1, granted("i-9"))
 		a := r.post("/report/x", "r1")
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -5,13 +5,14 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
 
 // Server is what a backend server has registered of itself.
 type Server struct {
-	// ID names one start of a backend server; a restart has another.
+	// ID names the backend server. It may keep it when it starts again.
 	ID            string
 	Service       string
 	Address       string // IP:PORT
@@ -21,6 +22,22 @@
 	Draining bool
 	// ColdFor is how much longer the server stays slow after its start.
 	ColdFor time.Duration
+	// Started tells the starts of a server from each other: the Unix time in ms that it
+	// states, 0 if it states none.
+	Started int64
+}
+
+// Start names one start of the server. What is learnt of one says nothing of another.
+func (s Server) Start() string {
+	if s.Started == 0 {
+		return s.ID
+	}
+	return s.ID + "@" + strconv.FormatInt(s.Started, 10)
+}
+
+// sameStart reports whether two entries are of one start, as far as they tell.
+func (s Server) sameStart(other Server) bool {
+	return s.Started == other.Started || s.Started == 0 || other.Started == 0
 }
 
 // Change is one entry of the list as it was written: the newest entry of a
@@ -28,6 +45,9 @@
 type Change struct {
 	ID     string
 	Server *Server
+	// Unusable is set where the newest entry names no server to use, so that a removal
+	// is not held back: no outage of the list explains it.
+	Unusable bool
 }
 
 // Registry is the list of backend servers. It is safe for concurrent use.
@@ -40,11 +60,18 @@
 	// expiries holds removals that may be an effect of an outage of the list,
 	// with the time at which each counts.
 	expiries map[string]time.Time
+	// restarted is called with the address of a server that has started again.
+	restarted func(address string)
 }
 
+// OnRestart has f called with the old address of each server that has started again. It
+// is called before the registry is in use.
+func (r *Registry) OnRestart(f func(address string)) { r.restarted = f }
+
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{backends: map[string]*Backend{}, ready: map[string][]*Backend{}, expiries: map[string]time.Time{}}
+	return &Registry{backends: map[string]*Backend{}, ready: map[string][]*Backend{}, expiries: map[string]time.Time{},
+		restarted: func(string) {}}
 }
 
 // Apply takes in changes in the order in which they were written. Removals are
@@ -58,7 +85,7 @@
 			r.put(*c.Server)
 			continue
 		}
-		if b := r.backends[c.ID]; b != nil && now.Before(grace) && !b.server().Draining {
+		if b := r.backends[c.ID]; b != nil && now.Before(grace) && !b.server().Draining && !c.Unusable {
 			r.expiries[c.ID] = grace
 			continue
 		}
@@ -93,6 +120,12 @@
 func (r *Registry) put(s Server) {
 	delete(r.expiries, s.ID)
 	b := r.backends[s.ID]
+	if b != nil && !b.server().sameStart(s) {
+		// Requests in progress keep the state of the start that they were sent to: what
+		// still comes of them counts for nothing here.
+		r.restarted(b.server().Address)
+		b = nil
+	}
 	if b == nil {
 		b = &Backend{}
 		r.backends[s.ID] = b
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -148,3 +148,64 @@
 	b.End()
 	g.Expect(b.View(now).Running).To(Equal(1))
 }
+
+// A server that starts again under its ID is another process: nothing that was learnt of
+// the one before counts for it, and what comes late of that one neither.
+func TestAServerThatStartsAgainIsLearntAnew(t *testing.T) {
+	g := NewWithT(t)
+	r, now := New(), time.Now()
+	var ended []string
+	r.OnRestart(func(address string) { ended = append(ended, address) })
+	entry := func(started int64, address string) Change {
+		return Change{ID: "a", Server: &Server{ID: "a", Service: "s", Address: address, Slots: 8, Started: started}}
+	}
+	r.Apply([]Change{entry(1000, "10.0.0.1:80")}, now, time.Time{})
+	before := r.Ready("s")[0]
+	before.Begin(500)
+	before.Report(Load{Running: 8, Waiting: 3, Slots: 8, At: now})
+	for range 5 {
+		before.Failed(now, true)
+	}
+	r.Apply([]Change{entry(1000, "10.0.0.1:80")}, now, time.Time{}) // a heartbeat
+	g.Expect(r.Ready("s")[0]).To(BeIdenticalTo(before))
+	g.Expect(ended).To(BeEmpty())
+
+	r.Apply([]Change{entry(2000, "10.0.0.2:80")}, now, time.Time{})
+	g.Expect(ended).To(Equal([]string{"10.0.0.1:80"}))
+	after := r.Ready("s")[0]
+	g.Expect(after.View(now)).To(Equal(View{}))
+	g.Expect(after.Server().Start()).To(Equal("a@2000"))
+	// Late words of the old process.
+	before.Report(Load{Running: 7, Slots: 8, At: now})
+	before.Gone(now)
+	before.End()
+	g.Expect(after.View(now)).To(Equal(View{}))
+
+	// An entry that does not state its start says nothing of a restart.
+	r.Apply([]Change{entry(0, "10.0.0.2:80")}, now, time.Time{})
+	g.Expect(r.Ready("s")[0]).To(BeIdenticalTo(after))
+	g.Expect(after.Server().Start()).To(Equal("a"))
+}
+
+// Whatever starts of a server are listed in whatever order, the state is that of the
+// newest listed one alone.
+func TestStateBelongsToOneStart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, now := New(), time.Unix(0, 0)
+		started, sent := int64(0), 0
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "listed") || started == 0 {
+				next := rapid.Int64Range(1, 3).Draw(t, "started")
+				r.Replace([]Server{{ID: "a", Service: "s", Address: "x", Started: next}}, now, time.Time{})
+				if next != started {
+					started, sent = next, 0
+				}
+			}
+			r.Ready("s")[0].Begin(1)
+			sent++
+			if got := r.Ready("s")[0].View(now).Running; got != sent {
+				t.Fatalf("%d requests at start %d, %d were sent to it", got, started, sent)
+			}
+		}
+	})
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -63,7 +63,9 @@
 
 // Worker is the stand-in. It is safe for concurrent use.
 type Worker struct {
-	ID       string
+	ID string
+	// Born is when the process started, Unix ms.
+	Born     int64
 	listener net.Listener
 
 	mu        sync.Mutex
@@ -77,12 +79,15 @@
 }
 
 // Start returns a running worker that gives plain answers. Close ends it.
-func Start(id string) (*Worker, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func Start(id string) (*Worker, error) { return StartAt(id, "127.0.0.1:0") }
+
+// StartAt is Start at an address, as when a worker starts again where it was.
+func StartAt(id, address string) (*Worker, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{ID: id, listener: l, behaviour: Behaviour{BreakAfter: -1}, conns: map[net.Conn]bool{}}
+	w := &Worker{ID: id, Born: time.Now().UnixMilli(), listener: l, behaviour: Behaviour{BreakAfter: -1}, conns: map[net.Conn]bool{}}
 	go w.accept()
 	return w, nil
 }
