Learn what attention adds to the reading of long prompts

Change: the fit has a term for pairs of tokens; all that waits is looked through each 50 ms, not at each message.

--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -29,24 +29,26 @@
 	mostWeight = 10.0
 	// tokensOfStart is a prompt length in tokens at which the start values are observed.
 	tokensOfStart = 4000
-	// Bounds of the reading time of one token: engines ten times as fast and forty times as
-	// slow as the start value.
-	leastRead, mostRead = 2.5, 1000.0 // microseconds
+	// leastRead bounds the reading time of 1,000 tokens from below, in microseconds: engines
+	// ten times as fast as the start value.
+	leastRead = 2500.0
 )
 
 // Service is what was learnt of the engines of one service together. It is not safe for
 // concurrent use.
 type Service struct {
-	reading  fit
-	observed float64 // prompts of late
-	token    float64 // us for a generated token beside no reading
-	tokens   float64 // observations of it
-	pause    float64 // us, the longest pause of a stream whatever is read
+	reading      fit
+	coefficients features // of reading
+	observed     float64  // prompts of late
+	token        float64  // us for a generated token beside no reading
+	tokens       float64  // observations of it
+	pause        float64  // us, the longest pause of a stream whatever is read
 }
 
 // Figures are what was learnt of a service's engines, to be told to others.
 type Figures struct {
-	Read     time.Duration // for a prompt token
+	Read     time.Duration // for 1,000 prompt tokens
+	Pairs    time.Duration // more for each million pairs of a token and one before it
 	Latency  time.Duration // to the first event of an empty prompt
 	Token    time.Duration // for a generated token beside no reading
 	Pause    time.Duration // the longest of a stream whatever is read
@@ -54,7 +56,7 @@
 }
 
 // startFigures are the figures of engines of which nothing was observed.
-var startFigures = Figures{Read: startRead, Latency: startLatency, Token: startToken, Pause: startPause}
+var startFigures = Figures{Read: startRead * thousand, Latency: startLatency, Token: startToken, Pause: startPause}
 
 // NewService returns a model with the start values.
 func NewService() *Service { return NewServiceFrom(startFigures) }
@@ -62,23 +64,25 @@
 // NewServiceFrom returns a model that begins with figures that another has learnt. They
 // count as a few observations.
 func NewServiceFrom(f Figures) *Service {
-	s := &Service{token: us(f.Token), pause: us(f.Pause)}
-	for _, x := range []float64{0, tokensOfStart} {
-		s.reading.add(x, us(f.Latency)+us(f.Read)*x, startWeight/2)
+	s := &Service{token: us(f.Token), pause: us(f.Pause), coefficients: features{us(f.Latency), us(f.Read), us(f.Pairs)}}
+	for _, tokens := range []int{0, tokensOfStart} {
+		x := of(tokens, 0)
+		s.reading.add(x, x.dot(s.coefficients), startWeight/2)
 	}
 	return s
 }
 
 // Figures returns what was learnt.
 func (s *Service) Figures() Figures {
-	return Figures{Read: microseconds(s.reading.slope()), Latency: microseconds(s.reading.at(0)), Token: microseconds(s.token),
+	return Figures{Read: microseconds(s.coefficients[1]), Latency: microseconds(s.coefficients[0]),
+		Pairs: microseconds(s.coefficients[2]), Token: microseconds(s.token),
 		Pause: microseconds(s.pause), Observed: s.observed}
 }
 
 // ReadTime returns how long a mean engine that does nothing else takes to the first event
-// of a prompt with so many tokens to read.
-func (s *Service) ReadTime(tokens int) time.Duration {
-	return microseconds(s.reading.at(float64(max(tokens, 0))))
+// of a prompt with so many tokens to read after others that it keeps.
+func (s *Service) ReadTime(tokens, after int) time.Duration {
+	return microseconds(of(tokens, after).dot(s.coefficients))
 }
 
 // TokenTime returns how long a generated token takes while nothing is read.
@@ -128,8 +132,8 @@
 func (s *Service) NewEngine() *Engine { return &Engine{service: s, slow: 1} }
 
 // ReadTime is Service.ReadTime for this engine.
-func (e *Engine) ReadTime(tokens int, now time.Time) time.Duration {
-	return time.Duration(float64(e.service.ReadTime(tokens)) * e.Slowness(now))
+func (e *Engine) ReadTime(tokens, after int, now time.Time) time.Duration {
+	return time.Duration(float64(e.service.ReadTime(tokens, after)) * e.Slowness(now))
 }
 
 // Slowness returns how many times as long as a mean engine this one takes.
@@ -144,9 +148,9 @@
 }
 
 // Observe takes in that the engine gave the first event of a prompt with so many tokens
-// to read after a time, with nothing ahead of it that is not counted in the tokens.
-func (e *Engine) Observe(tokens int, took time.Duration, now time.Time) {
-	expected := e.service.ReadTime(tokens)
+// to read, after others that it kept, in a time in which it read nothing else.
+func (e *Engine) Observe(tokens, after int, took time.Duration, now time.Time) {
+	expected := e.service.ReadTime(tokens, after)
 	if took <= 0 || expected <= 0 {
 		return
 	}
@@ -154,16 +158,18 @@
 	w := e.weightAt(now)
 	e.slow = (e.slow*w + factor) / (w + 1)
 	e.weight, e.at = min(w+1, engineMemory), now
-	e.service.observe(tokens, time.Duration(factor*float64(expected)))
+	e.service.observe(of(tokens, after), factor*us(expected))
 }
 
-func (s *Service) observe(tokens int, took time.Duration) {
+func (s *Service) observe(x features, took float64) {
 	s.observed = s.observed*(1-1.0/memory) + 1
 	s.reading.decay(1 - 1.0/memory)
 	// What is off is off by a part, so that long prompts count less: by the square of the
 	// time that is expected of them.
-	weight := s.reading.at(tokensOfStart) / max(s.reading.at(float64(max(tokens, 0))), 1)
-	s.reading.add(float64(tokens), us(took), min(weight*weight, mostWeight))
+	weight := of(tokensOfStart, 0).dot(s.coefficients) / max(x.dot(s.coefficients), 1)
+	s.reading.add(x, took, min(weight*weight, mostWeight))
+	s.coefficients = s.reading.solve(features{us(startLatency), us(startRead * thousand), 0})
+	s.coefficients[1] = max(s.coefficients[1], leastRead)
 }
 
 // Generated takes in that a stream of so many tokens took a time from its first to its
--- a/internal/enginemodel/enginemodel_test.go
+++ b/internal/enginemodel/enginemodel_test.go
@@ -57,11 +57,11 @@
 		errorAt := map[int]float64{}
 		for i := range 400 {
 			tokens := int(math.Exp(7.5 + draw.NormFloat64()))
-			engines[i%6].Observe(tokens, noisy(k.read(tokens)), now)
+			engines[i%6].Observe(tokens, 0, noisy(k.read(tokens)), now)
 			s.Generated(200, 200*k.step)
 			s.Paused(noisy(k.pause()), 10*k.pause())
 			now = now.Add(20 * time.Millisecond)
-			errorAt[i+1] = math.Abs(float64(s.ReadTime(4000))/float64(k.read(4000)) - 1)
+			errorAt[i+1] = math.Abs(float64(s.ReadTime(4000, 0))/float64(k.read(4000)) - 1)
 		}
 		t.Logf("%-9s error of the reading time of 4,000 tokens after 25, 100, 200, 400: %.2f %.2f %.2f %.2f",
 			k.name, errorAt[25], errorAt[100], errorAt[200], errorAt[400])
@@ -82,16 +82,16 @@
 	now := time.Unix(100, 0)
 	for i := range 400 {
 		now = now.Add(20 * time.Millisecond)
-		fine.Observe(4000, k.read(4000), now)
+		fine.Observe(4000, 0, k.read(4000), now)
 		if i%8 == 0 { // it gets less
-			slow.Observe(4000, 5*time.Second, now)
+			slow.Observe(4000, 0, 5*time.Second, now)
 		}
 	}
-	g.Expect(fine.ReadTime(4000, now)).To(BeNumerically("~", k.read(4000), k.read(4000)/4))
+	g.Expect(fine.ReadTime(4000, 0, now)).To(BeNumerically("~", k.read(4000), k.read(4000)/4))
 	g.Expect(slow.Slowness(now)).To(BeNumerically(">", 2))
 	g.Expect(slow.Slowness(now.Add(5 * engineForget))).To(BeNumerically("<", 1.5))
 	for range 30 {
-		slow.Observe(4000, k.read(4000), now)
+		slow.Observe(4000, 0, k.read(4000), now)
 	}
 	g.Expect(slow.Slowness(now)).To(BeNumerically("<", 1.3))
 }
@@ -103,11 +103,11 @@
 	e := s.NewEngine()
 	g.Expect(s.Figures().Observed).To(BeZero())
 	for i := range 300 {
-		e.Observe(500+10*i, k.read(500+10*i), time.Unix(100, 0))
+		e.Observe(500+10*i, 0, k.read(500+10*i), time.Unix(100, 0))
 		s.Generated(100, 100*k.step)
 	}
 	next := NewServiceFrom(s.Figures())
-	g.Expect(float64(next.ReadTime(3000))).To(BeNumerically("~", float64(s.ReadTime(3000)), 0.02*float64(s.ReadTime(3000))))
+	g.Expect(float64(next.ReadTime(3000, 0))).To(BeNumerically("~", float64(s.ReadTime(3000, 0)), 0.02*float64(s.ReadTime(3000, 0))))
 	g.Expect(next.TokenTime()).To(BeNumerically("~", s.TokenTime(), time.Millisecond))
 }
 
@@ -124,14 +124,14 @@
 			n := rapid.IntRange(-10, 1e6).Draw(t, "tokens")
 			switch rapid.IntRange(0, 2).Draw(t, "kind") {
 			case 0:
-				e.Observe(n, d, now)
+				e.Observe(n, rapid.IntRange(-10, 1e6).Draw(t, "after"), d, now)
 			case 1:
 				s.Generated(n, d)
 			default:
 				s.Paused(d, time.Duration(rapid.Int64Range(0, 1e10).Draw(t, "reading")))
 			}
 		}
-		short, long := e.ReadTime(10, now), e.ReadTime(10000, now)
+		short, long := e.ReadTime(10, 0, now), e.ReadTime(10000, 0, now)
 		if short < 0 || long <= short || long > time.Hour || s.TokenTime() <= 0 || s.Pause(time.Second, 4) <= 0 ||
 			math.IsNaN(s.Made(time.Second, time.Second, 4)) || s.Made(time.Second, time.Second, 4) < 0 {
 			t.Fatal(fmt.Sprint(short, long, s.Figures()))
@@ -139,12 +139,33 @@
 	})
 }
 
+// Where attention to what came before takes time, long prompts are known to take more
+// than in proportion.
+func TestAttentionIsLearnt(t *testing.T) {
+	g := NewWithT(t)
+	s := NewService()
+	e := s.NewEngine()
+	draw := rand.New(rand.NewPCG(1, 1))
+	real := func(tokens, after int) time.Duration {
+		pairs := float64(tokens) * (float64(after) + float64(tokens)/2) / 1e6
+		return time.Duration((float64(tokens)/38.4 + 0.647*pairs) * float64(time.Millisecond))
+	}
+	for range 600 {
+		tokens := int(math.Exp(7.5 + draw.NormFloat64()))
+		after := 6300 * draw.IntN(2)
+		e.Observe(tokens, after, time.Duration(float64(real(tokens, after))*math.Exp(0.2*draw.NormFloat64())), time.Unix(100, 0))
+	}
+	for _, tokens := range []int{1000, 5000, 20000} {
+		g.Expect(float64(s.ReadTime(tokens, 6300))).To(BeNumerically("~", float64(real(tokens, 6300)), 0.15*float64(real(tokens, 6300))), "%d", tokens)
+	}
+}
+
 func TestReadingTimesOfOneLengthStillTell(t *testing.T) {
 	g := NewWithT(t)
 	s := NewService()
 	e := s.NewEngine()
 	for range 2000 {
-		e.Observe(1000, 250*time.Millisecond, time.Unix(100, 0))
+		e.Observe(1000, 0, 250*time.Millisecond, time.Unix(100, 0))
 	}
-	g.Expect(s.ReadTime(1000)).To(BeNumerically("~", 250*time.Millisecond, 30*time.Millisecond))
+	g.Expect(s.ReadTime(1000, 0)).To(BeNumerically("~", 250*time.Millisecond, 30*time.Millisecond))
 }
--- a/internal/enginemodel/fit.go
+++ b/internal/enginemodel/fit.go
@@ -1,44 +1,78 @@
 package enginemodel
 
-// fit is a weighted least-squares line through observations (tokens, microseconds).
+// features are what the reading time of a prompt grows with: one for each prompt, its
+// tokens, and the pairs of these with the tokens before them, to which attention looks.
+type features [3]float64
+
+// of returns the features of tokens that are read after others that are kept.
+func of(tokens, after int) features {
+	n, before := float64(max(tokens, 0)), float64(max(after, 0))
+	return features{1, n / thousand, n * (before + n/2) / million}
+}
+
+const thousand, million = 1e3, 1e6
+
+// fit is a weighted least-squares fit of microseconds to features, drawn to the start
+// values where nothing is observed.
 type fit struct {
-	n, x, y, xx, xy float64
+	xx [3][3]float64
+	xy [3]float64
 }
 
-func (f *fit) add(x, y, weight float64) {
-	f.n += weight
-	f.x += weight * x
-	f.y += weight * y
-	f.xx += weight * x * x
-	f.xy += weight * x * y
+func (f *fit) add(x features, y, weight float64) {
+	for i := range x {
+		for j := range x {
+			f.xx[i][j] += weight * x[i] * x[j]
+		}
+		f.xy[i] += weight * x[i] * y
+	}
 }
 
 func (f *fit) decay(keep float64) {
-	f.n *= keep
-	f.x *= keep
-	f.y *= keep
-	f.xx *= keep
-	f.xy *= keep
+	for i := range f.xx {
+		for j := range f.xx[i] {
+			f.xx[i][j] *= keep
+		}
+		f.xy[i] *= keep
+	}
 }
 
-// sameLengths is the variance of the lengths, as a part of their mean square, below which
-// they are too much alike to tell a slope from an intercept.
-const sameLengths = 0.01
+// ridge is the weight with which each coefficient is drawn to its start value: that of one
+// observation of a prompt of 1,000 tokens after none.
+const ridge = 1.0
 
-// slope returns the microseconds of one token.
-func (f *fit) slope() float64 {
-	spread := f.n*f.xx - f.x*f.x
-	if spread < sameLengths*f.n*f.xx || spread <= 0 {
-		if f.x <= 0 {
-			return float64(startRead.Microseconds())
+// solve returns the coefficients, by elimination; none is below zero.
+func (f *fit) solve(start features) features {
+	a, b := f.xx, f.xy
+	for i := range a {
+		a[i][i] += ridge
+		b[i] += ridge * start[i]
+	}
+	for i := range a {
+		for j := i + 1; j < len(a); j++ {
+			m := a[j][i] / a[i][i]
+			for k := i; k < len(a); k++ {
+				a[j][k] -= m * a[i][k]
+			}
+			b[j] -= m * b[i]
 		}
-		return clamp(f.y/f.x, leastRead, mostRead)
 	}
-	return clamp((f.n*f.xy-f.x*f.y)/spread, leastRead, mostRead)
+	var out features
+	for i := len(a) - 1; i >= 0; i-- {
+		sum := b[i]
+		for k := i + 1; k < len(a); k++ {
+			sum -= a[i][k] * out[k]
+		}
+		out[i] = max(sum/a[i][i], 0)
+	}
+	return out
 }
 
-// at returns the value of the line, which is never below what its slope alone gives.
-func (f *fit) at(x float64) float64 {
-	b := f.slope()
-	return max((f.y-b*f.x)/f.n, 0) + b*x
+// dot returns the value of the fit.
+func (x features) dot(coefficients features) float64 {
+	sum := 0.0
+	for i := range x {
+		sum += x[i] * coefficients[i]
+	}
+	return sum
 }
--- a/internal/peers/learnt.go
+++ b/internal/peers/learnt.go
@@ -15,7 +15,8 @@
 // learnt is what a gateway has learnt of a service's engines, about 50 bytes.
 type learnt struct {
 	Service  string  `msgpack:"s"`
-	Read     float32 `msgpack:"r"` // microseconds for a prompt token
+	Read     float32 `msgpack:"r"` // microseconds for 1,000 prompt tokens
+	Pairs    float32 `msgpack:"a"` // microseconds more for each million pairs of tokens
 	Latency  float32 `msgpack:"l"` // microseconds to the first event of an empty prompt
 	Token    float32 `msgpack:"t"` // microseconds for a generated token
 	Pause    float32 `msgpack:"p"` // microseconds, the longest of a stream
@@ -32,7 +33,7 @@
 	var out []learnt
 	for _, l := range p.desk.Learnt() {
 		if l.Observed > 0 {
-			out = append(out, learnt{l.Service, us(l.Read), us(l.Latency), us(l.Token), us(l.Pause), float32(l.Observed)})
+			out = append(out, learnt{l.Service, us(l.Read), us(l.Pairs), us(l.Latency), us(l.Token), us(l.Pause), float32(l.Observed)})
 		}
 	}
 	slices.SortFunc(out, func(a, b learnt) int { return cmp.Compare(b.Observed, a.Observed) })
@@ -54,6 +55,6 @@
 			}
 		}
 	}
-	return enginemodel.Figures{Read: fromUs(best.Read), Latency: fromUs(best.Latency), Token: fromUs(best.Token),
+	return enginemodel.Figures{Read: fromUs(best.Read), Pairs: fromUs(best.Pairs), Latency: fromUs(best.Latency), Token: fromUs(best.Token),
 		Pause: fromUs(best.Pause), Observed: float64(best.Observed)}, best.Observed > 0
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -157,7 +157,7 @@
 // logLearnt writes what the decisions of this process rest on.
 func (p *Peers) logLearnt() {
 	for _, l := range p.desk.Learnt() {
-		p.logger.Info("engines learnt", "service", l.Service, "read", l.Read, "latency", l.Latency, "token", l.Token,
+		p.logger.Info("engines learnt", "service", l.Service, "read_1000", l.Read, "pairs", l.Pairs, "latency", l.Latency, "token", l.Token,
 			"longest_pause", l.Pause, "observed", l.Observed, "waiting", l.Waiting, "engines", l.Engines, "reading", l.Reading, "running", l.Running)
 	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -132,7 +132,7 @@
 	g := NewWithT(t)
 	in := permit.Group{Service: "model-120b", Index: 3}
 	id := "9c41d07be2a35f68/0"
-	figures := learnt{"model-120b", 25.3, 15234, 8123, 151234, 180}
+	figures := learnt{"model-120b", 25300, 647, 15234, 8123, 151234, 180}
 	for _, m := range []struct {
 		name  string
 		bytes int
@@ -219,7 +219,7 @@
 			f, _ := b.told("s")
 			return f.Read
 		}
-		Eventually(told, 3*time.Second).Should(BeNumerically("~", 100*time.Microsecond, 20*time.Microsecond))
+		Eventually(told, 3*time.Second).Should(BeNumerically("~", 100*time.Millisecond, 20*time.Millisecond))
 		_, known := b.told("other")
 		Expect(known).To(BeFalse())
 	})
--- a/internal/permit/place.go
+++ b/internal/permit/place.go
@@ -48,6 +48,7 @@
 	engine    *engine
 	fetchFrom string        // the engine from which the shared part is fetched
 	unread    int           // prompt tokens to read
+	after     int           // tokens before these that it keeps
 	reading   time.Duration // of these
 	wait      time.Duration // until it begins
 	cost      time.Duration
@@ -83,7 +84,7 @@
 }
 
 func (q *Queue) grant(e *entry, s site, now time.Time) {
-	e.granted, e.engine, e.unread, e.reading, e.fetch = now, s.engine, s.unread, s.reading, s.fetchFrom
+	e.granted, e.engine, e.unread, e.after, e.reading, e.fetch = now, s.engine, s.unread, s.after, s.reading, s.fetchFrom
 	e.lost = now.Add(lostFactor*(s.wait+s.reading) + lostMargin)
 	s.engine.begin(e, q.event(s.engine), now)
 	q.granted[e.ask.ID] = e
@@ -108,7 +109,7 @@
 			if q.policy.NoFetch {
 				at.source, home = "", en.ID
 			}
-			again := en.model.ReadTime(a.Own+a.Shared, now) - en.model.ReadTime(a.Own, now)
+			again := en.model.ReadTime(a.Own+a.Shared, 0, now) - en.model.ReadTime(a.Own, a.Shared, now)
 			switch {
 			case at.source != "" && a.Shared >= minFetch:
 				s.fetchFrom = at.source
@@ -124,7 +125,8 @@
 				s.unread += a.Shared
 			}
 		}
-		s.reading = en.model.ReadTime(s.unread, now)
+		s.after = a.Own + a.Shared - s.unread
+		s.reading = en.model.ReadTime(s.unread, s.after, now)
 		if en.pending > 0 && s.wait > lead && s.wait+s.reading > beside && !q.policy.Together {
 			continue
 		}
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -36,8 +36,9 @@
 	lostFactor, lostMargin = 3, 150 * time.Millisecond
 	// silentAfter is how long an ask waits without being repeated: its gateway is gone.
 	silentAfter = 3500 * time.Millisecond
-	// forgetEvery is the pause between two looks for those.
-	forgetEvery = 50 * time.Millisecond
+	// lookEvery is the pause between two looks through all that waits and is granted, for
+	// what is lost or can't be served in time any more.
+	lookEvery = 50 * time.Millisecond
 	// forgetGranted is above the longest time that a request runs; what is granted
 	// longer has ended without word.
 	forgetGranted = 2 * time.Minute
@@ -63,6 +64,7 @@
 	engine  *engine // of a granted ask
 	fetch   string  // engine from which it is to fetch the shared part
 	unread  int     // tokens that the engine was expected to read
+	after   int     // tokens before these that it kept
 	reading time.Duration
 	alone   bool // nothing else was being read when it was granted
 	read    bool
@@ -84,7 +86,7 @@
 	numbers  uint64 // of asks so far
 	tight    time.Duration
 	load     load
-	forgot   time.Time // when forget ran
+	looked   time.Time // when all that waits or is granted was looked through
 	tightAt  time.Time
 	scratch  []site
 	waits    capacity // scratch, as last worked out
@@ -154,7 +156,7 @@
 		return Answer{ID: a.ID, Verdict: Granted}
 	}
 	q.noteGap(a.Gap, now)
-	q.load.add(q.model.ReadTime(a.Own), now)
+	q.load.add(q.model.ReadTime(a.Own, a.Shared), now)
 	if !q.anyUsable(a, now) {
 		return q.answer(a.ID, Refused, shortestReturn)
 	}
@@ -185,7 +187,7 @@
 		return
 	}
 	if e.alone && !q.policy.NoLearning {
-		e.engine.model.Observe(e.unread, took, now)
+		e.engine.model.Observe(e.unread, e.after, took, now)
 	}
 	e.engine.answered(now)
 	q.prefixes.use(e.ask.Part, e.engine.ID, now)
@@ -218,15 +220,22 @@
 // Next returns what has become due: grants, and refusals of asks that can't be
 // served in time any more.
 func (q *Queue) Next(now time.Time) []Answer {
-	q.forget(now)
-	q.prefixes.prune(now)
-	var out []Answer
-	if len(q.waiting) == 0 {
-		return out
+	lookThrough := now.Sub(q.looked) >= lookEvery
+	if lookThrough {
+		q.looked = now
+		q.forget(now)
+		q.prefixes.prune(now)
+	}
+	room := q.anyRoom(now)
+	if len(q.waiting) == 0 || !lookThrough && !room {
+		return nil
 	}
 	slices.SortFunc(q.waiting, func(a, b *entry) int { return q.order(a, b, now) })
-	out = q.refuseHopeless(out, now)
-	if !q.anyRoom(now) {
+	var out []Answer
+	if lookThrough {
+		out = q.refuseHopeless(now)
+	}
+	if !room {
 		return out
 	}
 	tried := 0
@@ -245,13 +254,14 @@
 
 // refuseHopeless refuses waiting asks, which are in order, that can't be served in time
 // any more.
-func (q *Queue) refuseHopeless(out []Answer, now time.Time) []Answer {
+func (q *Queue) refuseHopeless(now time.Time) []Answer {
+	var out []Answer
 	engines := q.capacity(now)
 	ahead := time.Duration(0)
 	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry) bool {
 		wait := engines.free(ahead)
 		if !q.hopeless(e, wait, len(engines), now) {
-			ahead += q.model.ReadTime(e.ask.Own)
+			ahead += q.model.ReadTime(e.ask.Own, e.ask.Shared)
 			return false
 		}
 		delete(q.asked, e.ask.ID)
@@ -269,7 +279,7 @@
 	if age > e.ask.Limit || q.policy.Patient {
 		return age > e.ask.Limit
 	}
-	if age+wait+q.model.ReadTime(e.ask.Own) > e.ask.Target {
+	if age+wait+q.model.ReadTime(e.ask.Own, e.ask.Shared) > e.ask.Target {
 		left := 1 - q.load.engines(now)/float64(max(engines, 1))
 		wait = time.Duration(float64(wait) / max(left, leastLeft))
 	}
@@ -282,10 +292,6 @@
 // forget settles granted requests of which nothing is heard, and drops asks that are not
 // repeated.
 func (q *Queue) forget(now time.Time) {
-	if now.Sub(q.forgot) < forgetEvery {
-		return
-	}
-	q.forgot = now
 	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry) bool {
 		silent := now.Sub(e.heard) > silentAfter
 		if silent {
@@ -362,7 +368,7 @@
 
 // onTime reports whether the request would be on time if it were granted now.
 func (q *Queue) onTime(e *entry, now time.Time) bool {
-	return now.Sub(e.arrived)+q.model.ReadTime(e.ask.Own) <= time.Duration(onTimePart*float64(e.ask.Target))
+	return now.Sub(e.arrived)+q.model.ReadTime(e.ask.Own, e.ask.Shared) <= time.Duration(onTimePart*float64(e.ask.Target))
 }
 
 // wait is the expected time from now on until an engine begins to read the request: what
@@ -371,7 +377,7 @@
 	var ahead time.Duration
 	for _, other := range q.waiting {
 		if other != e && q.precedes(other, e, now) {
-			ahead += q.model.ReadTime(other.ask.Own)
+			ahead += q.model.ReadTime(other.ask.Own, other.ask.Shared)
 		}
 	}
 	return q.capacity(now).free(ahead)
--- a/internal/permit/queue_test.go
+++ b/internal/permit/queue_test.go
@@ -128,7 +128,7 @@
 	q.Ask(long("next", 3000), now)
 	g.Expect(q.Next(now.Add(300 * time.Millisecond))).To(BeEmpty())
 	g.Expect(q.Next(now.Add(430 * time.Millisecond))).To(BeEmpty()) // read, but the engine may be silent
-	due := q.Next(now.Add(430*time.Millisecond + firstPause + forgetEvery))
+	due := q.Next(now.Add(430*time.Millisecond + firstPause + lookEvery))
 	g.Expect(due).To(HaveLen(1))
 	q.End("next", Stream{}, now)
 	g.Expect(q.Idle()).To(BeFalse())
@@ -167,7 +167,7 @@
 		q.FirstToken(id, took, now)
 		q.End(id, Stream{}, now)
 	}
-	g.Expect(q.model.ReadTime(5000)).To(BeNumerically("~", 250*time.Millisecond, 10*time.Millisecond))
+	g.Expect(q.model.ReadTime(5000, 0)).To(BeNumerically("~", 250*time.Millisecond, 10*time.Millisecond))
 }
 
 // No engine of a group is idle while a prompt waits for another.
