--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -26,7 +26,7 @@
 	// engine that freezes for seconds says nothing about the others.
 	farOff = 3.0
 	// mostWeight bounds the weight of a short prompt against one of tokensOfStart.
-	mostWeight = 10.0
+	mostWeight = 4.0
 	// tokensOfStart is a prompt length in tokens at which the start values are observed.
 	tokensOfStart = 4000
 	// leastRead bounds the reading time of 1,000 tokens from below, in microseconds: engines
--- /dev/null
+++ b/internal/permit/wait.go
@@ -0,0 +1,137 @@
+package permit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// lateShare is the part of its limit beyond which an expected wait is refused at once:
+	// a late answer is worth more to its caller than a refusal, and expected waits are
+	// about right.
+	lateShare = 0.85
+	// onTimePart is the part of its target within which a request must be expected to give
+	// its first token to count as one that can be on time.
+	onTimePart = 0.85
+	// leastLeft bounds from below the part of the engines' time that is taken to be left
+	// for late requests.
+	leastLeft = 0.1
+)
+
+// first is the comparison of two asks of which one goes first.
+func first(a bool) int {
+	if a {
+		return -1
+	}
+	return 1
+}
+
+// order is the order of waiting asks: rank; then those whose callers have a part of the
+// answer; then those that can still be on time; then arrival.
+func (q *Queue) order(a, b *entry, now time.Time) int {
+	if c := cmp.Compare(a.ask.Rank, b.ask.Rank); c != 0 {
+		return c
+	}
+	if a.ask.Begun != b.ask.Begun {
+		return first(a.ask.Begun)
+	}
+	if x, y := q.onTime(a, now), q.onTime(b, now); x != y && !q.policy.ByArrival {
+		return first(x)
+	}
+	return cmp.Compare(a.number, b.number)
+}
+
+func (q *Queue) precedes(a, b *entry, now time.Time) bool { return q.order(a, b, now) < 0 }
+
+// onTime reports whether the request would be on time if it were granted now.
+func (q *Queue) onTime(e *entry, now time.Time) bool {
+	return now.Sub(e.arrived)+q.model.ReadTime(e.ask.Own, e.ask.Shared) <= time.Duration(onTimePart*float64(e.ask.Target))
+}
+
+// wait is the expected time from now on until an engine begins to read the request: what
+// is ahead of it goes to whichever engine is free first.
+func (q *Queue) wait(e *entry, now time.Time) time.Duration {
+	var ahead time.Duration
+	for _, other := range q.waiting {
+		if other != e && q.precedes(other, e, now) {
+			ahead += q.model.ReadTime(other.ask.Own, other.ask.Shared)
+		}
+	}
+	return q.capacity(now).free(ahead)
+}
+
+// capacity is when each engine that may be used will have read what was granted, in
+// order.
+type capacity []time.Duration
+
+func (q *Queue) capacity(now time.Time) capacity {
+	out := q.waits[:0]
+	for _, en := range q.ordered {
+		if en.usable(now) {
+			out = append(out, en.wait(now))
+		}
+	}
+	slices.Sort(out)
+	q.waits = out
+	return out
+}
+
+// free returns when an engine is free for the next prompt once the work ahead of it is
+// taken by those that are free first.
+func (c capacity) free(ahead time.Duration) time.Duration {
+	at := time.Duration(0)
+	for i, wait := range c {
+		// i engines work on what is ahead until this one joins them.
+		if work := time.Duration(i) * (wait - at); work >= ahead && i > 0 {
+			return at + ahead/time.Duration(i)
+		} else {
+			ahead -= work
+		}
+		at = wait
+		if ahead <= 0 {
+			return at
+		}
+	}
+	return at + ahead/time.Duration(max(len(c), 1))
+}
+
+// refuseHopeless refuses waiting asks, which are in order, that can't be served in time
+// any more.
+func (q *Queue) refuseHopeless(now time.Time) []Answer {
+	var out []Answer
+	engines := q.capacity(now)
+	ahead := time.Duration(0)
+	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry) bool {
+		wait := engines.free(ahead)
+		if !q.hopeless(e, wait, len(engines), now) {
+			ahead += q.model.ReadTime(e.ask.Own, e.ask.Shared)
+			return false
+		}
+		delete(q.asked, e.ask.ID)
+		out = append(out, q.answer(e.ask.ID, Refused, comeBack(wait, e.ask)))
+		return true
+	})
+	return out
+}
+
+// hopeless reports whether a request can't be served in time if so much is ahead of it.
+// Those that will be late are served only with what those that can still be on time
+// leave over: where that is nothing, they would wait in vain.
+func (q *Queue) hopeless(e *entry, wait time.Duration, engines int, now time.Time) bool {
+	age := now.Sub(e.arrived)
+	if age > e.ask.Limit || q.policy.Patient {
+		return age > e.ask.Limit
+	}
+	if age+wait+q.model.ReadTime(e.ask.Own, e.ask.Shared) > e.ask.Target {
+		left := 1 - q.load.engines(now)/float64(max(engines, 1))
+		wait = time.Duration(float64(wait) / max(left, leastLeft))
+	}
+	return age+wait > time.Duration(lateShare*float64(e.ask.Limit))
+}
+
+// comeBack is when a refused caller is to ask again: when the backlog has sunk to
+// what its target bears.
+func comeBack(wait time.Duration, a Ask) time.Duration {
+	return min(max(wait-a.Target/2, shortestReturn), longestReturn)
+}
