--- a/internal/permit/place.go
+++ b/internal/permit/place.go
@@ -60,17 +60,50 @@
 // location is where the shared part of a prompt is.
 type location struct {
 	holds  func(engine string) bool
-	source string // from which it can be fetched; empty for none
+	source string // an engine that holds it; empty for none
+	home   string // where a part of which nothing is known is sought
 }
 
-// locate finds the shared part of an ask. A part of which nothing is known is sought at
-// its home.
+// locate finds the shared part of an ask.
 func (q *Queue) locate(a Ask, now time.Time) location {
 	if a.Part == "" {
 		return location{holds: func(string) bool { return true }}
 	}
-	source := q.prefixes.source(a.Part, func(id string) bool { return q.engines[id] != nil }, now)
-	return location{func(id string) bool { return q.prefixes.holds(a.Part, id, now) }, source}
+	at := location{holds: func(id string) bool { return q.prefixes.holds(a.Part, id, now) }}
+	at.source = q.prefixes.source(a.Part, func(id string) bool { return q.engines[id] != nil }, now)
+	if at.source == "" {
+		at.home = q.home(a.Part)
+	}
+	return at
+}
+
+// prompt works out what the engine of a site has to read of a prompt, and returns what it
+// counts beyond that time that the shared part is not there.
+func (q *Queue) prompt(s *site, a Ask, at location, now time.Time) (extra time.Duration) {
+	s.unread = a.Own
+	id := s.engine.ID
+	if !at.holds(id) {
+		again := s.engine.model.ReadTime(a.Own+a.Shared, 0, now) - s.engine.model.ReadTime(a.Own, a.Shared, now)
+		known := at.source != "" && !q.policy.NoFetch
+		worthFetching := a.Shared >= minFetch && !q.policy.NoFetch
+		switch {
+		case known && worthFetching:
+			s.fetchFrom = at.source
+			extra = time.Duration(fetchCost * float64(again))
+		case id == at.home:
+			s.unread += a.Shared
+		case worthFetching:
+			s.fetchFrom = at.home // it may be there
+			s.unread += a.Shared
+			extra = time.Duration(fetchCost * float64(again))
+		default:
+			s.unread += a.Shared
+			extra = time.Duration(againCost * float64(again))
+		}
+	}
+	s.after = a.Own + a.Shared - s.unread
+	s.reading = s.engine.model.ReadTime(s.unread, s.after, now)
+	return extra
 }
 
 // place grants the ask at the engine that serves it best among those that can take it.
@@ -103,47 +136,21 @@
 // sites returns the engines that can take the ask now, the best first.
 func (q *Queue) sites(a Ask, now time.Time) []site {
 	at := q.locate(a, now)
-	home := ""
-	if at.source == "" {
-		home = q.home(a.Part)
-	}
 	beside := time.Duration(besidePart * float64(q.tightest(now)))
 	out := q.scratch[:0]
 	for _, en := range q.ordered {
 		if !en.usable(now) || !en.hasRoom(a) || slices.Contains(a.Avoid, en.ID) {
 			continue
 		}
-		s := site{engine: en, unread: a.Own, wait: en.wait(now)}
-		extra := time.Duration(0)
-		if !at.holds(en.ID) {
-			if q.policy.NoFetch {
-				at.source, home = "", en.ID
-			}
-			again := en.model.ReadTime(a.Own+a.Shared, 0, now) - en.model.ReadTime(a.Own, a.Shared, now)
-			switch {
-			case at.source != "" && a.Shared >= minFetch:
-				s.fetchFrom = at.source
-				extra = time.Duration(fetchCost * float64(again))
-			case at.source == "" && en.ID != home && a.Shared >= minFetch:
-				s.fetchFrom = home // it may be there
-				s.unread += a.Shared
-				extra = time.Duration(fetchCost * float64(again))
-			case en.ID != home:
-				s.unread += a.Shared
-				extra = time.Duration(againCost * float64(again))
-			default:
-				s.unread += a.Shared
-			}
-		}
-		s.after = a.Own + a.Shared - s.unread
-		s.reading = en.model.ReadTime(s.unread, s.after, now)
+		s := site{engine: en, wait: en.wait(now)}
+		s.cost = q.prompt(&s, a, at, now)
 		if en.pending > 0 && s.wait > lead && s.wait+s.reading > beside && !q.policy.Together {
 			continue
 		}
 		if a.FailureDomain != "" && a.FailureDomain != en.FailureDomain {
-			extra += remoteCost
+			s.cost += remoteCost
 		}
-		s.cost = extra + s.wait + s.reading + q.crowding(s, beside) + time.Duration(en.errors.Share(now)*float64(errorCost))
+		s.cost += s.wait + s.reading + q.crowding(s, beside) + time.Duration(en.errors.Share(now)*float64(errorCost))
 		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b site) int { return cmp.Compare(a.cost, b.cost) })
--- a/internal/permit/wait.go
+++ b/internal/permit/wait.go
@@ -83,11 +83,11 @@
 	at := time.Duration(0)
 	for i, wait := range c {
 		// i engines work on what is ahead until this one joins them.
-		if work := time.Duration(i) * (wait - at); work >= ahead && i > 0 {
+		work := time.Duration(i) * (wait - at)
+		if i > 0 && work >= ahead {
 			return at + ahead/time.Duration(i)
-		} else {
-			ahead -= work
 		}
+		ahead -= work
 		at = wait
 		if ahead <= 0 {
 			return at
