--- a/internal/placement/answertime.go
+++ b/internal/placement/answertime.go
@@ -7,14 +7,14 @@
 
 const (
 	// firstTokenTime is the time for a generated token that is assumed before it has
-	// been measured: a step of an engine that reads long prompts takes 25 ms in two of
-	// three, 7 ms in the third.
+	// been measured: between the 5 ms of an engine that reads nothing and the 25 ms and
+	// more of one that reads without pause.
 	firstTokenTime = 18 * time.Millisecond
 	// answerWeight is the weight of one answer in the measure.
 	answerWeight = 0.1
 )
 
-// AnswerTime measures how long answers of a service take against what their callers
+// AnswerTime measures how long answers of a route take against what their callers
 // expect of their length. Expected lengths are often far off, but about right in the
 // mean, and engines are three times as fast while they read little. It is safe for
 // concurrent use.
