Say that no engine can be used, and not that there is load

Ruled out: load, there were 12 callers at 4 engines; the log of the gateway that answered was gone with its restart. Change: a verdict of its own, answered 503 with when to come back. The new test got 429 before.

--- a/e2e/gatewaysoak_test.go
+++ b/e2e/gatewaysoak_test.go
@@ -30,8 +30,9 @@
 // failedSeeds are seeds of the soak that failed once, with the cause that was
 // mended; each is played again by the test command.
 var failedSeeds = map[uint64]string{
-	1: "SIGHUP ended a process that had not installed its handlers yet",
-	5: "the soak's own: an engine was told to give plain answers, which streams were compared with",
+	1:   "SIGHUP ended a process that had not installed its handlers yet",
+	307: "an interactive request was told 429, as for load, while its engines could not be used",
+	5:   "the soak's own: an engine was told to give plain answers, which streams were compared with",
 }
 
 // gatewaySoak is a seeded series of failures over gateways as processes while
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/fault"
@@ -75,7 +76,7 @@
 // service has no room.
 func (g *Gateway) acquire(ctx context.Context, q *request, tried map[string]bool, rel *relay) (placement.Choice, peers.Leave, error) {
 	candidates := g.candidates(q.service, tried)
-	if len(candidates) == 0 {
+	if !slices.ContainsFunc(candidates, reachable) {
 		return placement.Choice{}, peers.Leave{}, g.noServer(q)
 	}
 	part, _ := q.call.Prompt.Shared()
@@ -94,9 +95,14 @@
 			leave.End(permit.Stream{})
 			return placement.Choice{}, peers.Leave{}, outOfTime(ctx, false)
 		}
-		if answer.Verdict == permit.Refused {
+		switch answer.Verdict {
+		case permit.NoEngine:
 			g.noteRefusal(q, answer)
-			if group == 0 || answer.Wait < refused.Wait {
+			group++
+			continue
+		case permit.Refused:
+			g.noteRefusal(q, answer)
+			if refused.ID == "" || answer.Wait < refused.Wait {
 				refused = answer
 			}
 			group++
@@ -122,17 +128,20 @@
 // undecided chooses the engine where no other gateway decides.
 func (g *Gateway) undecided(q *request, candidates []placement.Candidate) (placement.Choice, peers.Leave, error) {
 	choice := placement.Engine(g.placementRequest(q), candidates)
-	if c := choice.Candidate; c == nil || c.Tried || c.View.Avoided {
+	if choice.Candidate == nil || !reachable(*choice.Candidate) {
 		return placement.Choice{}, peers.Leave{}, g.noServer(q)
 	}
 	return choice, peers.Leave{}, nil
 }
 
+// reachable reports whether the request may be sent to an engine from here.
+func reachable(c placement.Candidate) bool { return !c.Tried && !c.View.Avoided }
+
 // avoided are the engines to which the request can't be sent from here.
 func avoided(candidates []placement.Candidate) []string {
 	var out []string
 	for _, c := range candidates {
-		if c.Tried || c.View.Avoided {
+		if !reachable(c) {
 			out = append(out, c.Server.Start())
 		}
 	}
@@ -146,7 +155,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		switch {
-		case c.Server.Start() == answer.Engine && !c.Tried && !c.View.Avoided:
+		case c.Server.Start() == answer.Engine && reachable(*c):
 			choice.Candidate = c
 		case c.Server.Start() == answer.FetchFrom && !c.View.Avoided:
 			choice.FetchFrom = c.Server.Address
@@ -157,7 +166,7 @@
 
 // noteRefusal keeps a refusal for the decision line.
 func (g *Gateway) noteRefusal(q *request, answer permit.Answer) {
-	q.sends = append(q.sends, send{Result: permit.Refused.String(), Wait: answer.Wait, Unread: int64(answer.Backlog), At: g.now().Sub(q.start)})
+	q.sends = append(q.sends, send{Result: answer.Verdict.String(), Wait: answer.Wait, Unread: int64(answer.Backlog), At: g.now().Sub(q.start)})
 }
 
 // patience is how long a caller of the route waits for a first event.
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -117,6 +117,17 @@
 		Expect(r.workers[1].Runs()).To(HaveLen(1))
 	})
 
+	// Seed 307 of the soak: an interactive request was told 429, as for load, while its
+	// engines could not be used.
+	It("says that no server is left, and not that there is load, where no engine can be used", func() {
+		r, d := before(2, permit.Answer{Verdict: permit.NoEngine, Wait: time.Second})
+		a := r.post("/stream/x", "r1")
+		Expect(a.status).To(Equal(503))
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(d.asks).To(HaveLen(1))
+		Expect(r.runs()).To(BeEmpty())
+	})
+
 	It("tells who asks of all engines that it knows, also of those that it can't reach", func() {
 		r, d := before(2, granted("i-1"))
 		r.workers[0].Close()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,9 +1,8 @@
-// Package peers joins the gateways of a deployment: which of them are up, who
-// decides for which engines where and when prompts are read, what has been learnt of these,
-// and what each has learnt
-// from the platform's store, so that not all of them need to ask it. All of it is
-// carried in datagrams of one socket; what is lost is asked again or learnt from
-// the store, and nothing that callers are promised rests on it.
+// Package peers joins the gateways of a deployment: which of them are up, who decides for
+// which engines where and when prompts are read, what has been learnt of these engines, and
+// what each gateway has read in the platform's store, so that not all of them need to ask
+// it. All of it is carried in datagrams of one socket; what is lost is asked again or learnt
+// from the store, and nothing that callers are promised rests on it.
 package peers
 
 import (
--- a/internal/permit/ask.go
+++ b/internal/permit/ask.go
@@ -68,6 +68,9 @@
 	Granted Verdict = iota + 1
 	Queued
 	Refused
+	// NoEngine: the request can't be sent to any engine of the group in time, for they fail
+	// or its gateway can't reach them. That says nothing of the load.
+	NoEngine
 )
 
 // String returns the verdict's name.
@@ -79,6 +82,8 @@
 		return "queued"
 	case Refused:
 		return "refused"
+	case NoEngine:
+		return "no_engine"
 	}
 	return "none"
 }
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -148,7 +148,7 @@
 	q.noteGap(a.Gap, now)
 	q.load.add(q.model.ReadTime(a.Own, a.Shared), now)
 	if !q.anyUsable(a, now) {
-		return q.answer(a.ID, Refused, shortestReturn)
+		return q.answer(a.ID, NoEngine, shortestReturn)
 	}
 	first := !slices.ContainsFunc(q.waiting, func(other *entry) bool { return q.precedes(other, e, now) })
 	if first && q.place(e, now) {
--- a/internal/permit/wait.go
+++ b/internal/permit/wait.go
@@ -102,7 +102,10 @@
 func (q *Queue) refuseHopeless(now time.Time) []Answer {
 	var out []Answer
 	engines := q.capacity(now)
-	ahead := time.Duration(0)
+	verdict, ahead := Refused, time.Duration(0)
+	if len(engines) == 0 {
+		verdict = NoEngine
+	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry) bool {
 		wait := engines.free(ahead)
 		if !q.hopeless(e, wait, len(engines), now) {
@@ -110,7 +113,7 @@
 			return false
 		}
 		delete(q.asked, e.ask.ID)
-		out = append(out, q.answer(e.ask.ID, Refused, q.comeBack(wait, e.ask, len(engines), now)))
+		out = append(out, q.answer(e.ask.ID, verdict, q.comeBack(wait, e.ask, len(engines), now)))
 		return true
 	})
 	return out
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -263,7 +263,7 @@
 	case permit.Granted:
 		a.job.group = a.group()
 		w.send(a.job, a.gateway, w.decided(a, answer, now), now)
-	case permit.Refused:
+	case permit.Refused, permit.NoEngine:
 		if a.job.refused = len(a.groups) == 1; !a.job.refused {
 			a.groups = a.groups[1:min(len(a.groups), maxGroups)]
 			w.ask(a, now)
