--- a/internal/permit/place.go
+++ b/internal/permit/place.go
@@ -6,9 +6,8 @@
 	"time"
 )
 
-// Where no other figure is given, constants were chosen by trials and found to be flat: in
-// simulated loads of reviews and questions half or twice of each moves the shares in time by
-// no more than 0.02.
+// Where no figure is given, constants were chosen by trials; docs/EXPERIMENTS.md has what
+// other values of some gave in simulation.
 const (
 	// besidePart is the part of the tightest pause that prompts read one with another may
 	// take: they count as one short reading. With half of it 0.903 instead of 0.925 of
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -73,7 +73,7 @@
 	waiting  []*entry
 	asked    map[string]*entry // waiting, by ID
 	granted  map[string]*entry
-	numbers  uint64 // of asks so far
+	numbers  uint64        // of asks so far
 	tight    time.Duration // the shortest pause that a request bears, as asked at tightAt
 	tightAt  time.Time
 	load     load
