--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -17,9 +17,17 @@
 // maxSize is above any message, in bytes, and below what a link carries in one piece.
 const maxSize = 1200
 
+// PacketConn is what a Socket needs of a *net.UDPConn.
+type PacketConn interface {
+	ReadFromUDPAddrPort([]byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort([]byte, netip.AddrPort) (int, error)
+	LocalAddr() net.Addr
+	Close() error
+}
+
 // Socket sends and receives messages of type T. It is safe for concurrent use.
 type Socket[T any] struct {
-	conn   *net.UDPConn
+	conn   PacketConn
 	metric string
 }
 
@@ -35,9 +43,12 @@
 	if err != nil {
 		return nil, fault.New(fault.BadSettings, "%w", err).InField("peers.listen")
 	}
-	return &Socket[T]{conn, metric}, nil
+	return New[T](conn, metric), nil
 }
 
+// New returns a socket on conn, which it owns.
+func New[T any](conn PacketConn, metric string) *Socket[T] { return &Socket[T]{conn, metric} }
+
 // Address returns the address in use.
 func (s *Socket[T]) Address() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -98,15 +98,27 @@
 // Open opens the socket of the gateway on host, which is local and may use so many
 // cores, at an IP address and port.
 func Open(host, address string, cores float64, local Local, logger *slog.Logger) (*Peers, error) {
-	socket, err := datagram.Open[message](address, "merlinpost_peer_datagrams")
+	socket, err := datagram.Open[message](address, metric)
 	if err != nil {
 		return nil, err
 	}
+	return join(host, socket, cores, local, logger), nil
+}
+
+// New joins the gateway on host to the others over conn, which it owns.
+func New(host string, conn datagram.PacketConn, cores float64, local Local, logger *slog.Logger) *Peers {
+	return join(host, datagram.New[message](conn, metric), cores, local, logger)
+}
+
+// metric begins the names of the counters of datagrams.
+const metric = "merlinpost_peer_datagrams"
+
+func join(host string, socket *datagram.Socket[message], cores float64, local Local, logger *slog.Logger) *Peers {
 	self := socket.Address()
 	p := &Peers{socket: socket, self: self, logger: logger, in: make(chan received, ring),
 		members: newMembers(Member{host, self, cores}, time.Now()), waiting: map[string]chan permit.Answer{}}
 	p.desk = permit.NewDesk[netip.AddrPort](local.Engines, p.told, permit.Policy{})
-	return p, nil
+	return p
 }
 
 // Self returns this gateway as a member.
--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -63,6 +63,7 @@
 	reads   int
 	// PageSize is the number of records on a page of the newest ones.
 	PageSize int
+	chunked  bool // replies do not state their length
 	link     sync.Mutex // held while a piece of a reply is on its way
 	perPiece time.Duration
 }
@@ -81,11 +82,21 @@
 	}
 }
 
+// SetChunked has replies come in chunks, without stating their length.
+func (s *Store) SetChunked(chunked bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chunked = chunked
+}
+
 // reply writes a reply at the pace of the link.
 func (s *Store) reply(w http.ResponseWriter, r *http.Request, body []byte) {
 	s.mu.Lock()
-	perPiece := s.perPiece
+	perPiece, chunked := s.perPiece, s.chunked
 	s.mu.Unlock()
+	if !chunked {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	flusher := http.NewResponseController(w)
 	for len(body) > 0 {
 		n := len(body)
@@ -107,13 +118,23 @@
 
 // Start returns a running store without records. Close ends it.
 func Start() *Store {
-	s := &Store{topics: map[string]*topic{}, changed: make(chan struct{}), PageSize: 500}
+	s := New()
+	s.Server = httptest.NewServer(s.Handler())
+	return s
+}
+
+// New returns a store without records that is not served yet.
+func New() *Store {
+	return &Store{topics: map[string]*topic{}, changed: make(chan struct{}), PageSize: 500}
+}
+
+// Handler answers the calls.
+func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /merlinpost/log-read", s.read)
 	mux.HandleFunc("GET /merlinpost/log-newest", s.newest)
 	mux.HandleFunc("POST /merlinpost/log-append", s.append)
-	s.Server = httptest.NewServer(mux)
-	return s
+	return mux
 }
 
 // Address returns the IP:PORT of the store.
