--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -63,7 +63,7 @@
 	reads   int
 	// PageSize is the number of records on a page of the newest ones.
 	PageSize int
-	chunked  bool // replies do not state their length
+	chunked  bool       // replies do not state their length
 	link     sync.Mutex // held while a piece of a reply is on its way
 	perPiece time.Duration
 }
