Reckon with the time that a large value takes on a link

Cause, one class in four places: the time that a value takes on a link was left out of the account. Ruled out: the clocks (all ages are told), the order of versions (TestTheConfigurationNeverGoesBack).

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -46,7 +46,7 @@
 	own := platform.Own{MetricsPort: c.MetricsPort, LogOneIn: c.LogOneIn}
 	servers := registry.New()
 	g := gateway.New(set.Gateway(own), platform.Dialect{}, servers, logger)
-	others, err := peers.Open(set.Host, set.Peers(), set.Cores, g, logger)
+	others, err := peers.Open(set.Host, set.Peers(), set.Capacity(), g, logger)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,9 +97,9 @@
 	}
 }
 
-// SetTable puts a configuration in force. A version that is not above the one
-// in force is left out: a process never goes back.
-func (g *Gateway) SetTable(t *routing.Table) bool {
+// SetTable puts a configuration in force that was the newest at a time. A version that is
+// not above the one in force is left out: a process never goes back.
+func (g *Gateway) SetTable(t *routing.Table, at time.Time) bool {
 	for {
 		old := g.table.Load()
 		if old != nil && t.Version <= old.Version {
@@ -109,7 +109,7 @@
 			break
 		}
 	}
-	g.ConfirmTable(g.now())
+	g.ConfirmTable(at)
 	telemetry.Gauge("merlinpost_config_version", float64(t.Version))
 	return true
 }
--- a/internal/gateway/gateway_suite_test.go
+++ b/internal/gateway/gateway_suite_test.go
@@ -84,7 +84,7 @@
 // started puts the configuration in force.
 func started(workers int) *rig {
 	r := newRig(workers)
-	Expect(r.gateway.SetTable(table())).To(BeTrue())
+	Expect(r.gateway.SetTable(table(), time.Now())).To(BeTrue())
 	return r
 }
 
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -143,7 +143,7 @@
 
 	It("decides for itself while it is alone", func() {
 		r := started(2)
-		p, err := peers.Open("here", "127.0.0.1:0", 0.3, r.gateway, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		p, err := peers.Open("here", "127.0.0.1:0", peers.Capacity{Cores: 0.3}, r.gateway, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		Expect(err).NotTo(HaveOccurred())
 		ctx, cancel := context.WithCancel(context.Background())
 		var duty sync.WaitGroup
--- a/internal/peers/beats.go
+++ b/internal/peers/beats.go
@@ -7,9 +7,9 @@
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
-// newsBeat is the pause between heartbeats of a gateway that reads the store for
+// NewsBeat is the pause between heartbeats of a gateway that reads the store for
 // the others. It repeats what a lost datagram did not bring.
-const newsBeat = 400 * time.Millisecond
+const NewsBeat = 400 * time.Millisecond
 
 // liveLogEvery bounds the lines about the number of live gateways: when all start
 // at once it changes with each that is heard.
@@ -19,7 +19,7 @@
 func (p *Peers) heard(b beat, from netip.AddrPort, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.members.beat(Member{b.Host, from, b.Cores}, b.Leaving, now)
+	p.members.beat(Member{b.Host, from, b.Capacity}, b.Leaving, now)
 	if m := p.members.known[b.Host]; m != nil && b.Learnt != nil {
 		m.learnt = b.Learnt
 	}
@@ -35,7 +35,7 @@
 	every := p.members.beatEvery()
 	own := p.findings.own(now)
 	if len(own) > 0 {
-		every = newsBeat
+		every = NewsBeat
 	}
 	due := now.Sub(p.lastBeat) >= every || p.findings.news
 	if due {
@@ -61,7 +61,7 @@
 // beat sends a heartbeat to all known members.
 func (p *Peers) beat(own []finding) {
 	p.mu.Lock()
-	b := beat{Host: p.members.self.Host, Cores: p.members.self.Cores, Leaving: p.leaving, Findings: own, Learnt: p.learnt}
+	b := beat{Host: p.members.self.Host, Capacity: p.members.self.Capacity, Leaving: p.leaving, Findings: own, Learnt: p.learnt}
 	to := make([]netip.AddrPort, 0, len(p.members.known))
 	for _, member := range p.members.known {
 		to = append(to, member.Address)
--- a/internal/peers/findings.go
+++ b/internal/peers/findings.go
@@ -120,3 +120,10 @@
 	t := p.findings.topic(topic)
 	return t.confirmed(), t.changed
 }
+
+// SlowestLink returns the slowest link of the live gateways in Mbit/s, 0 where none is known.
+func (p *Peers) SlowestLink() uint32 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.slowestLink(time.Now())
+}
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -13,8 +13,13 @@
 type Member struct {
 	Host    string
 	Address netip.AddrPort
-	// Cores is the processor that the gateway may use, in cores; 0 if not known.
-	Cores float64
+	Capacity
+}
+
+// Capacity is what a gateway's host has; zeros are not known.
+type Capacity struct {
+	Cores    float64 `msgpack:"c,omitempty"` // that the gateway may use
+	LinkMbps uint32  `msgpack:"w,omitempty"`
 }
 
 const (
@@ -30,10 +35,12 @@
 	// downFor is how long a member that gave no answer counts as down unless it is
 	// heard again.
 	downFor = 3 * time.Second
-	// homeCores is the part of the largest member's processor that a member must have
-	// to decide for a group of engines. On hosts of 0.144 to 0.8 cores the small ones
-	// would be busy with the asks of all.
-	homeCores = 0.5
+	// largeShare is the part of the largest member's processor that a member must have to
+	// decide for a group of engines, and of processor and link to read the store for all.
+	// On hosts of 0.144 to 0.8 cores the small ones would be busy with the asks of all; one
+	// with 10 instead of 200 Mbit/s has 887 KB after 0.9 s instead of 0.1 s, and tells the
+	// others only then.
+	largeShare = 0.5
 )
 
 // members is the list of gateways as this one sees it. It is not safe for
@@ -88,7 +95,7 @@
 		return
 	}
 	p := m.presence(member)
-	p.Cores = member.Cores
+	p.Capacity = member.Capacity
 	p.heard, p.leaving, p.downUntil = now, leaving, time.Time{}
 }
 
@@ -128,11 +135,11 @@
 		}
 	}
 	hosts := make([]string, 0, len(m.known)+1)
-	if m.self.Cores >= homeCores*most {
+	if m.self.Cores >= largeShare*most {
 		hosts = append(hosts, m.self.Host)
 	}
 	for host, p := range m.known {
-		if m.isLive(p, now) && p.Cores >= homeCores*most {
+		if m.isLive(p, now) && p.Cores >= largeShare*most {
 			hosts = append(hosts, host)
 		}
 	}
@@ -142,8 +149,45 @@
 	return m.self
 }
 
-// rank returns the place of this gateway in the order of the live ones for a
-// key, 0 first.
+// rank returns the place of this gateway in the order of the live ones for a key, 0 first.
+// Hosts with a large processor and link come before the others.
 func (m *members) rank(key string, now time.Time) int {
-	return slices.Index(rendezvous.Rank(key, m.live(now)), m.self.Host)
+	large, small := m.bySize(now)
+	return slices.Index(append(rendezvous.Rank(key, large), rendezvous.Rank(key, small)...), m.self.Host)
+}
+
+// bySize returns the live hosts, parted by their capacity.
+func (m *members) bySize(now time.Time) (large, small []string) {
+	var most Capacity
+	live := m.live(now)
+	for _, host := range live {
+		c := m.capacity(host)
+		most = Capacity{max(most.Cores, c.Cores), max(most.LinkMbps, c.LinkMbps)}
+	}
+	for _, host := range live {
+		c := m.capacity(host)
+		if c.Cores >= largeShare*most.Cores && float64(c.LinkMbps) >= largeShare*float64(most.LinkMbps) {
+			large = append(large, host)
+		} else {
+			small = append(small, host)
+		}
+	}
+	return large, small
+}
+
+// slowestLink returns the slowest link of the live hosts in Mbit/s, 0 where none is known.
+func (m *members) slowestLink(now time.Time) (mbps uint32) {
+	for _, host := range m.live(now) {
+		if link := m.capacity(host).LinkMbps; link > 0 && (mbps == 0 || link < mbps) {
+			mbps = link
+		}
+	}
+	return mbps
+}
+
+func (m *members) capacity(host string) Capacity {
+	if p := m.known[host]; p != nil {
+		return p.Capacity
+	}
+	return m.self.Capacity
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -36,8 +36,8 @@
 
 // beat is a heartbeat with what its sender has confirmed at the store.
 type beat struct {
-	Host     string    `msgpack:"h"`
-	Cores    float64   `msgpack:"c"`
+	Host string `msgpack:"h"`
+	Capacity
 	Leaving  bool      `msgpack:"l,omitempty"`
 	Findings []finding `msgpack:"f,omitempty"`
 	// Learnt is what the sender has learnt of the engines for which it decides.
@@ -95,28 +95,27 @@
 	liveLogged time.Time
 }
 
-// Open opens the socket of the gateway on host, which is local and may use so many
-// cores, at an IP address and port.
-func Open(host, address string, cores float64, local Local, logger *slog.Logger) (*Peers, error) {
+// Open opens the socket of the gateway on host, which is local, at an IP address and port.
+func Open(host, address string, capacity Capacity, local Local, logger *slog.Logger) (*Peers, error) {
 	socket, err := datagram.Open[message](address, metric)
 	if err != nil {
 		return nil, err
 	}
-	return join(host, socket, cores, local, logger), nil
+	return join(host, socket, capacity, local, logger), nil
 }
 
 // New joins the gateway on host to the others over conn, which it owns.
-func New(host string, conn datagram.PacketConn, cores float64, local Local, logger *slog.Logger) *Peers {
-	return join(host, datagram.New[message](conn, metric), cores, local, logger)
+func New(host string, conn datagram.PacketConn, capacity Capacity, local Local, logger *slog.Logger) *Peers {
+	return join(host, datagram.New[message](conn, metric), capacity, local, logger)
 }
 
 // metric begins the names of the counters of datagrams.
 const metric = "merlinpost_peer_datagrams"
 
-func join(host string, socket *datagram.Socket[message], cores float64, local Local, logger *slog.Logger) *Peers {
+func join(host string, socket *datagram.Socket[message], capacity Capacity, local Local, logger *slog.Logger) *Peers {
 	self := socket.Address()
 	p := &Peers{socket: socket, self: self, logger: logger, in: make(chan received, ring),
-		members: newMembers(Member{host, self, cores}, time.Now()), waiting: map[string]chan permit.Answer{}}
+		members: newMembers(Member{host, self, capacity}, time.Now()), waiting: map[string]chan permit.Answer{}}
 	p.desk = permit.NewDesk[netip.AddrPort](local.Engines, p.told, permit.Policy{})
 	return p
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -28,7 +28,9 @@
 }
 
 // member is a gateway with 0.3 cores.
-func member(host string, address netip.AddrPort) Member { return Member{host, address, 0.3} }
+func member(host string, address netip.AddrPort) Member {
+	return Member{host, address, Capacity{Cores: 0.3}}
+}
 
 // local is a gateway that knows one engine in each group.
 type local struct{}
@@ -99,9 +101,9 @@
 func TestLargeHostsDecide(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(0, 0)
-	m := newMembers(Member{"small", at(1), 0.144}, now)
-	m.beat(Member{"large", at(2), 0.8}, false, now)
-	m.beat(Member{"middle", at(3), 0.3}, false, now)
+	m := newMembers(Member{"small", at(1), Capacity{Cores: 0.144}}, now)
+	m.beat(Member{"large", at(2), Capacity{Cores: 0.8}}, false, now)
+	m.beat(Member{"middle", at(3), Capacity{Cores: 0.3}}, false, now)
 	for i := range 50 {
 		g.Expect(m.home(fmt.Sprint(i), now).Host).To(Equal("large"))
 	}
@@ -114,6 +116,32 @@
 	g.Expect(homes).To(HaveKey("middle"))
 }
 
+// Hosts with little processor or a slow link read the store for the others only where
+// there are no larger ones, in an order that all agree on.
+func TestLargeHostsReadForAll(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	hosts := []Member{
+		{"large-1", at(1), Capacity{0.8, 200}}, {"large-2", at(2), Capacity{0.8, 200}},
+		{"no-processor", at(3), Capacity{0.144, 200}}, {"slow-link", at(4), Capacity{0.8, 10}}, {"small", at(5), Capacity{0.144, 10}},
+	}
+	for topic := range 20 {
+		places := map[int]string{}
+		for _, self := range hosts {
+			m := newMembers(self, now)
+			for _, other := range hosts {
+				m.beat(other, false, now)
+			}
+			places[m.rank(fmt.Sprint(topic), now)] = self.Host
+			g.Expect(m.slowestLink(now)).To(BeEquivalentTo(10))
+		}
+		g.Expect(places).To(HaveLen(len(hosts)))
+		g.Expect([]string{places[0], places[1]}).To(ConsistOf("large-1", "large-2"))
+	}
+	alone := newMembers(hosts[4], now)
+	g.Expect(alone.rank("t", now)).To(Equal(0))
+}
+
 func TestHeartbeatsStayWithinTheirBytes(t *testing.T) {
 	g := NewWithT(t)
 	m := newMembers(member("a", at(1)), time.Unix(0, 0))
@@ -144,8 +172,8 @@
 		{"answer", 80, message{Answer: &permit.Answer{ID: id, Verdict: permit.Granted, Engine: "i-7f3a91c2e4", FetchFrom: "i-1698e780c4", Backlog: 120000}}},
 		{"first token", 60, message{FirstToken: &firstToken{Group: in, ID: id, Took: 180 * time.Millisecond}}},
 		{"end", 75, message{End: &end{in, id, permit.Stream{Events: 64, Took: 5 * time.Second, Longest: 150 * time.Millisecond}}}},
-		{"heartbeat", 45, message{Beat: &beat{Host: "edge-barrage-hall-1", Cores: 0.304}}},
-		{"heartbeat with figures", 230, message{Beat: &beat{Host: "edge-barrage-hall-1", Cores: 0.304, Learnt: []learnt{figures, figures, figures}}}},
+		{"heartbeat", 45, message{Beat: &beat{Host: "edge-barrage-hall-1", Capacity: Capacity{0.304, 1000}}}},
+		{"heartbeat with figures", 230, message{Beat: &beat{Host: "edge-barrage-hall-1", Capacity: Capacity{0.304, 1000}, Learnt: []learnt{figures, figures, figures}}}},
 	} {
 		data, err := msgpack.Marshal(m.message)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -173,7 +201,7 @@
 
 var _ = Describe("gateways on one network", func() {
 	open := func(host string) (*Peers, context.CancelFunc) {
-		p, err := Open(host, "127.0.0.1:0", 0.3, local{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		p, err := Open(host, "127.0.0.1:0", Capacity{Cores: 0.3}, local{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		Expect(err).NotTo(HaveOccurred())
 		ctx, cancel := context.WithCancel(context.Background())
 		var duty sync.WaitGroup
