Hand changes of the configuration on from gateway to gateway

Ruled out: what is forgotten at a new table (nothing is kept by it). Change: internal/routing finds the change between two tables and applies it, sharing the rest, with a digest of the outcome; internal/configshare hands it on, compressed, over TCP at the gateways' port; a gateway that hears of a newer version asks who told, and reads the store where it is not answered, the other has no room on its link, or the change does not fit. Versions are compared by their order, so that the fresh word of a gateway that is behind hides nothing. A host that the store turns away has changes from the others.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 
+	"github.com/merlinpost/merlinpost/internal/configshare"
 	"github.com/merlinpost/merlinpost/internal/decisionlog"
+	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/gateway"
 	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/registry"
@@ -51,10 +54,16 @@
 		return err
 	}
 	g.UsePeers(others)
+	asks, err := net.Listen("tcp", set.Peers())
+	if err != nil {
+		return fault.New(fault.BadSettings, "%w", err).InField("peers.listen")
+	}
+	share := configshare.New((&net.Dialer{}).DialContext, set.LinkMbps, logger)
 	ctx, stop := stopSignals(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	follower := platform.NewFollower(set, g, servers, others, logger)
+	follower := platform.NewFollower(set, g, servers, others, share, logger)
+	go share.Serve(ctx, asks)
 	go follower.Run(ctx)
 	go others.Run(ctx)
 	go platform.WatchSettings(ctx, set, hangup, logger, func(s platform.Settings) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,9 @@
 // at a time.
 func (g *Gateway) ConfirmTable(at time.Time) { g.tableTime.Store(&at) }
 
+// Table returns the configuration in force, nil for none.
+func (g *Gateway) Table() *routing.Table { return g.table.Load() }
+
 // ConfigVersion returns the version in force, 0 for none.
 func (g *Gateway) ConfigVersion() int64 {
 	if t := g.table.Load(); t != nil {
--- a/internal/peers/beats.go
+++ b/internal/peers/beats.go
@@ -24,7 +24,7 @@
 		m.learnt = b.Learnt
 	}
 	for _, f := range b.Findings {
-		p.findings.hear(f, now)
+		p.findings.hear(f, from, now)
 	}
 }
 
--- a/internal/peers/findings.go
+++ b/internal/peers/findings.go
@@ -1,11 +1,14 @@
 package peers
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // finding is the state of a topic of the store as a gateway found it.
 type finding struct {
 	Topic string
-	State uint64 // a digest of the contents
+	State uint64 // a digest of the contents, or their version
 	AgeMs int64  // since it was read
 	// ContactMs is how long its finder's calls have been answered without a break.
 	ContactMs int64
@@ -16,10 +19,14 @@
 	state uint64
 	at    time.Time
 	since time.Time // since when its finder's calls have been answered
+	from  netip.AddrPort
 }
 
 // topicFindings are what this gateway and the others found.
 type topicFindings struct {
+	// versioned states have an order: a higher one is newer whenever it was read, and the word
+	// of a gateway that is behind is none.
+	versioned  bool
 	own, heard found
 	changed    chan struct{} // closed when a newer state is heard
 }
@@ -48,26 +55,44 @@
 // find records what this gateway has read.
 func (f *findings) find(name string, state uint64, at, since time.Time) {
 	t := f.topic(name)
-	if t.own.state != state {
+	// What another has told is no news.
+	if t.own.state != state && (state != t.heard.state || at.After(t.heard.at)) {
 		f.news = true
 	}
-	t.own = found{state, at, since}
+	t.own = found{state: state, at: at, since: since}
 }
 
 // hear takes in a finding of another gateway.
-func (f *findings) hear(from finding, now time.Time) {
-	t := f.topic(from.Topic)
-	at := now.Add(-time.Duration(from.AgeMs) * time.Millisecond)
-	if !at.After(t.heard.at) {
+func (f *findings) hear(told finding, from netip.AddrPort, now time.Time) {
+	t := f.topic(told.Topic)
+	heard := found{told.State, now.Add(-time.Duration(told.AgeMs) * time.Millisecond),
+		now.Add(-time.Duration(told.ContactMs) * time.Millisecond), from}
+	if !t.replaces(heard) {
 		return
 	}
-	t.heard = found{from.State, at, now.Add(-time.Duration(from.ContactMs) * time.Millisecond)}
-	if t.heard.state != t.own.state && at.After(t.own.at) {
+	t.heard = heard
+	if t.outdated() {
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
 }
 
+// replaces reports whether a finding says more than the one heard last.
+func (t *topicFindings) replaces(next found) bool {
+	if t.versioned && next.state != t.heard.state {
+		return next.state > t.heard.state
+	}
+	return next.at.After(t.heard.at)
+}
+
+// outdated reports whether another gateway has a newer state.
+func (t *topicFindings) outdated() bool {
+	if t.versioned {
+		return t.heard.state > t.own.state
+	}
+	return t.heard.state != t.own.state && t.heard.at.After(t.own.at)
+}
+
 // own returns what is to be told to the others.
 func (f *findings) own(now time.Time) []finding {
 	var out []finding
@@ -104,6 +129,22 @@
 	return p.findings.topic(topic).heard.since
 }
 
+// Versioned makes the states of a topic versions.
+func (p *Peers) Versioned(topic string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.findings.topic(topic).versioned = true
+}
+
+// Newer returns the state of a topic that another gateway told, where that is newer than this
+// one's: who told it, and when it was the newest.
+func (p *Peers) Newer(topic string) (at time.Time, from netip.AddrPort, newer bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.findings.topic(topic)
+	return t.heard.at, t.heard.from, t.outdated()
+}
+
 // Heard returns the state of a topic that another gateway told last, 0 for none.
 func (p *Peers) Heard(topic string) uint64 {
 	p.mu.Lock()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -187,18 +187,55 @@
 	f, now := findings{}, time.Unix(100, 0)
 	f.find("t", 7, now, now)
 	g.Expect(f.own(now)).To(HaveLen(1))
-	f.hear(finding{"t", 7, 100, 5000}, now.Add(time.Second))
+	f.hear(finding{"t", 7, 100, 5000}, at(9), now.Add(time.Second))
 	g.Expect(f.topic("t").confirmed()).To(Equal(now.Add(900 * time.Millisecond)))
 	g.Expect(f.topic("t").heard.since).To(Equal(now.Add(-4 * time.Second)))
 	g.Expect(f.own(now.Add(time.Second))).To(BeEmpty()) // another tells it
 	changed := f.topic("t").changed
-	f.hear(finding{"t", 8, 0, 0}, now.Add(2*time.Second))
+	f.hear(finding{"t", 8, 0, 0}, at(9), now.Add(2*time.Second))
 	g.Expect(changed).To(BeClosed())
 	g.Expect(f.topic("t").confirmed()).To(Equal(now))
-	f.hear(finding{"t", 7, 1500, 0}, now.Add(2*time.Second)) // older than what was heard
+	f.hear(finding{"t", 7, 1500, 0}, at(9), now.Add(2*time.Second)) // older than what was heard
 	g.Expect(f.topic("t").heard.state).To(BeEquivalentTo(8))
 }
 
+// A version is newer than another whenever it was read: one that was read long ago over a slow
+// link is heard of, and the fresh word of a gateway that is behind neither confirms anything nor
+// hides the newer one.
+func TestAHigherVersionIsNewerWheneverItWasRead(t *testing.T) {
+	g := NewWithT(t)
+	f, now := findings{}, time.Unix(100, 0)
+	f.topic("t").versioned = true
+	f.find("t", 7, now, now)
+	changed := f.topic("t").changed
+	f.hear(finding{"t", 8, 3000, 0}, at(2), now.Add(time.Second)) // read before 7 was
+	g.Expect(changed).To(BeClosed())
+	g.Expect(f.topic("t").outdated()).To(BeTrue())
+	g.Expect(f.topic("t").confirmed()).To(Equal(now))
+
+	f.hear(finding{"t", 7, 0, 0}, at(3), now.Add(2*time.Second)) // behind
+	g.Expect(f.topic("t").heard.state).To(BeEquivalentTo(8))
+	g.Expect(f.topic("t").heard.from).To(Equal(at(2)))
+	g.Expect(f.topic("t").confirmed()).To(Equal(now))
+
+	f.find("t", 9, now.Add(2*time.Second), now)
+	f.hear(finding{"t", 8, 0, 0}, at(2), now.Add(3*time.Second))
+	g.Expect(f.topic("t").outdated()).To(BeFalse())
+	g.Expect(f.topic("t").confirmed()).To(Equal(now.Add(2 * time.Second)))
+}
+
+// A state that was fetched from another gateway is not told on to all.
+func TestWhatAnotherToldIsNoNews(t *testing.T) {
+	g := NewWithT(t)
+	f, now := findings{}, time.Unix(100, 0)
+	f.topic("t").versioned = true
+	f.hear(finding{"t", 8, 0, 0}, at(2), now)
+	f.find("t", 8, now, now)
+	g.Expect(f.news).To(BeFalse())
+	f.find("t", 9, now.Add(time.Second), now)
+	g.Expect(f.news).To(BeTrue())
+}
+
 var _ = Describe("gateways on one network", func() {
 	open := func(host string) (*Peers, context.CancelFunc) {
 		p, err := Open(host, "127.0.0.1:0", Capacity{Cores: 0.3}, local{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -52,6 +52,7 @@
 	Targets   []Target
 
 	totalWeight int
+	digest      uint64 // of the fields above
 }
 
 // Target is a service that gets a share of a route's requests.
@@ -113,6 +114,8 @@
 	engines map[string]Engine            // by service
 	teams   map[string]*Team             // by key
 	keyed   bool
+	// routesDigest and keysDigest are the sums over the routes' and the keys' digests.
+	routesDigest, keysDigest uint64
 }
 
 // Contents are what a Table is built from.
@@ -131,29 +134,19 @@
 // and name the field at fault.
 func New(c Contents) (*Table, error) {
 	t := &Table{
-		Version: c.Version, Limits: c.Limits, teams: c.Teams, keyed: c.Teams != nil,
+		Version: c.Version, Limits: c.Limits, keyed: c.Teams != nil,
 		hosts: map[string]map[string]*Route{}, engines: c.Engines,
 	}
 	for i := range c.Routes {
-		if err := t.add(&c.Routes[i]); err != nil {
+		if err := c.Routes[i].check(); err != nil {
 			return nil, err
 		}
+		t.put(&c.Routes[i])
 	}
-	return t, nil
-}
-
-func (t *Table) add(r *Route) error {
-	if err := r.check(); err != nil {
-		return err
+	for key, team := range c.Teams {
+		t.putKey(key, team)
 	}
-	host := strings.ToLower(r.Host)
-	byPrefix := t.hosts[host]
-	if byPrefix == nil {
-		byPrefix = map[string]*Route{}
-		t.hosts[host] = byPrefix
-	}
-	byPrefix[r.PathPrefix] = r
-	return nil
+	return t, nil
 }
 
 func (r *Route) check() error {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -1,5 +1,6 @@
-// Package wire is the protocol between a router and an agent: typed messages,
-// encoded with msgpack, in length-prefixed frames over one TCP connection.
+// Package wire is the protocol between a router and an agent, and of gateways that ask each
+// other for the configuration: typed messages, encoded with msgpack, in length-prefixed
+// frames over one TCP connection.
 //
 // A router dials an agent. Both send Hello first. Every later message names
 // the request and the attempt it belongs to, so that a message of an old link
@@ -35,6 +36,8 @@
 	TypeConfigState
 	TypeClaim
 	TypeClaimed
+	TypeTableAsk
+	TypeTableReply
 )
 
 // Message is any message of the protocol.
@@ -235,6 +238,22 @@
 		Message: f.Message, RetryAfter: time.Duration(f.RetryAfterMS) * time.Millisecond}
 }
 
+// TableAsk asks another gateway for its configuration, as a change against the version that
+// the asker has; 0 for none.
+type TableAsk struct{ Have int64 }
+
+// TableReply answers a TableAsk.
+type TableReply struct {
+	// Busy says that the asker should read the store instead.
+	Busy bool
+	// Offset is where the store's topic goes on behind the version.
+	Offset int64
+	// Bytes is the size of the version in the store.
+	Bytes int
+	// Change is a routing.Change, encoded with msgpack and compressed with deflate.
+	Change []byte
+}
+
 // Type methods.
 func (*Hello) Type() Type       { return TypeHello }
 func (*Beat) Type() Type        { return TypeBeat }
@@ -250,6 +269,8 @@
 func (*ConfigState) Type() Type { return TypeConfigState }
 func (*Claim) Type() Type       { return TypeClaim }
 func (*Claimed) Type() Type     { return TypeClaimed }
+func (*TableAsk) Type() Type    { return TypeTableAsk }
+func (*TableReply) Type() Type  { return TypeTableReply }
 
 func newMessage(t Type) Message {
 	switch t {
@@ -281,6 +302,10 @@
 		return new(Claim)
 	case TypeClaimed:
 		return new(Claimed)
+	case TypeTableAsk:
+		return new(TableAsk)
+	case TypeTableReply:
+		return new(TableReply)
 	}
 	return nil
 }
