--- a/e2e/gateways_test.go
+++ b/e2e/gateways_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -185,6 +187,24 @@
 		}
 	})
 
+	It("hand the configuration to one that does not reach the store", func() {
+		f := up(3, 1, 1)
+		lost := f.gateways[0]
+		Eventually(lost.log.String).Should(ContainSubstring(`"live":3`)) // they know each other
+		text, err := os.ReadFile(f.settingsFile(lost))
+		Expect(err).NotTo(HaveOccurred())
+		elsewhere := strings.Replace(string(text), f.store.Address(), "127.0.0.1:1", 1)
+		Expect(os.WriteFile(f.settingsFile(lost), []byte(elsewhere), 0o600)).To(Succeed())
+		Eventually(lost.log.String).Should(ContainSubstring("lost the store"))
+		for range 3 {
+			version := f.configure(nil)
+			Eventually(lost.log.String).Should(MatchRegexp(`"configuration in force","config":%d,"fetched_from"`, version))
+			Eventually(func() int {
+				return f.askWith(ctx, f.http, lost, versionKey(version), "post", fmt.Sprint("new-key-", version)).status
+			}).Should(Equal(200))
+		}
+	})
+
 	It("send nothing to a worker that drains", func() {
 		f := up(2, 0, 2)
 		leaving := f.workers[0]
