--- a/e2e/gatewaysoak_faults_test.go
+++ b/e2e/gatewaysoak_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"syscall"
@@ -64,8 +65,10 @@
 		case 1:
 			s.store.Forget(platformstore.TopicServers)
 			s.store.Forget(platformstore.TopicOperator)
-		case 2, 3:
+		case 2:
 			s.configure(nil)
+		case 3:
+			s.configure(grown(s.newestVersion() % 7 * 200)) // what is drawn afterwards stays as it was
 		case 4:
 			w.Next(misbehaviours(w)...)
 		case 5:
@@ -97,6 +100,18 @@
 	}
 }
 
+// grown adds routes to a configuration that callers do not use.
+func grown(routes int) func(config map[string]any) {
+	return func(config map[string]any) {
+		list := config["routes"].([]any)
+		for i := range routes {
+			list = append(list, map[string]any{"name": fmt.Sprint("more-", i), "host": fmt.Sprintf("%d.more.example", i), "path_prefix": "/more/",
+				"kind": "idempotent", "service": appService, "timeout_ms": 6000, "max_attempts": 2})
+		}
+		config["routes"] = list
+	}
+}
+
 // calmDown ends what lasts.
 func (s *gatewaySoak) calmDown() {
 	s.store.SetMode(platformstore.Up)
--- a/internal/configshare/configshare.go
+++ b/internal/configshare/configshare.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -97,11 +98,12 @@
 	for {
 		conn, err := ln.Accept()
 		switch {
-		case ctx.Err() != nil:
-			return
-		case err != nil:
-			s.logger.Error("gateways can't ask for the configuration", "error", err)
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
 			return
+		case err != nil: // such as descriptors that are used up
+			s.logger.Error("a gateway can't ask for the configuration", "error", err)
+			pause(ctx)
+			continue
 		}
 		select {
 		case room <- struct{}{}:
@@ -116,6 +118,18 @@
 	}
 }
 
+// acceptPause is the time after a connection that could not be taken.
+const acceptPause = 100 * time.Millisecond
+
+func pause(ctx context.Context) {
+	timer := time.NewTimer(acceptPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // answer answers one ask.
 func (s *Share) answer(ctx context.Context, conn net.Conn) {
 	defer bounded(ctx, conn)()
--- a/internal/configshare/configshare_test.go
+++ b/internal/configshare/configshare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -183,6 +184,40 @@
 	})
 }
 
+// failing is a listener of which each other connection can't be taken.
+type failing struct {
+	net.Listener
+	calls int
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	f.calls++
+	if f.calls%2 == 1 {
+		return nil, errors.New("too many open files")
+	}
+	return f.Listener.Accept()
+}
+
+func TestServingGoesOnAfterAConnectionThatCouldNotBeTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		network := memnet.New(time.Millisecond)
+		at, asker := network.Host(0), network.Host(0)
+		share := New(at.DialContext, 0, quiet())
+		share.Put(Version{Table: table(5, 1)})
+		ctx, stop := context.WithCancel(context.Background())
+		listener := &failing{Listener: at.Listen(port)}
+		go share.Serve(ctx, listener)
+		for range 3 {
+			_, _, err := New(asker.DialContext, 0, quiet()).Fetch(context.Background(), at.Address(port), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		stop()
+		network.Close()
+		time.Sleep(2 * silence)
+	})
+}
+
 func TestServingEndsWithItsContext(t *testing.T) {
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
