Move what decides when the store is read from platform/ into internal/follow

Cause: platform/ is to translate and decide nothing, yet it decided who reads, when, how long a confirmation lasts and what a failure means; the incident's mend sat among its names. Change: internal/follow has the decisions, over an interface of the store, names of topics and a decoder that platform/ provides; nothing in it knows a name of the platform. Tests moved with it, as external ones where they follow the platform's store over its stand-in; checks unchanged.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/merlinpost/merlinpost/internal/configshare"
 	"github.com/merlinpost/merlinpost/internal/decisionlog"
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/follow"
 	"github.com/merlinpost/merlinpost/internal/gateway"
 	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/registry"
@@ -62,12 +63,15 @@
 	ctx, stop := stopSignals(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	follower := platform.NewFollower(set, g, servers, others, share, logger)
+	follower := follow.New(follow.Parts{
+		Connect: func(address string) follow.Store { return platform.NewStore(address) }, Topics: platform.Topics, Decoder: platform.Decoder{},
+		Gateway: g, Servers: servers, Peers: others, Share: share, Logger: logger,
+	}, set.Follow())
 	go share.Serve(ctx, asks)
 	go follower.Run(ctx)
 	go others.Run(ctx)
 	go platform.WatchSettings(ctx, set, hangup, logger, func(s platform.Settings) {
-		follower.SetSettings(s)
+		follower.SetSettings(s.Follow())
 		g.SetSettings(s.Gateway(own))
 	})
 	go func() {
--- a/platform/configuration.go
+++ b/internal/follow/configuration.go
@@ -1,4 +1,4 @@
-package platform
+package follow
 
 import (
 	"context"
@@ -15,13 +15,13 @@
 // force within ApplyWithin.
 func (f *Follower) configTopic() topic {
 	set := f.settings.Load()
-	return topic{name: topicConfig, key: keyConfig, maxKB: newestReadKB, bound: bound(set.ApplyWithin, 0.7), pause: leastPause, waits: true,
-		slowestRead: freshness.Reading(f.configBytes, set.RecordBytes, float64(f.peers.SlowestLink())),
-		confirm:     func(at, _ time.Time) { f.gateway.ConfirmTable(at) }, whole: f.newConfig, added: f.newConfig,
+	return topic{name: f.Topics.Configuration, key: f.Topics.ConfigurationKey, maxKB: newestReadKB, bound: bound(set.ApplyWithin, 0.7), pause: leastPause, waits: true,
+		slowestRead: freshness.Reading(f.configBytes, set.RecordBytes, float64(f.Peers.SlowestLink())),
+		confirm:     func(at, _ time.Time) { f.Gateway.ConfirmTable(at) }, whole: f.newConfig, added: f.newConfig,
 		fromPeer: f.configFromPeer,
 		offer:    f.shareConfig,
 		watch: func(failed error) {
-			f.behind.note(f.gateway.ConfigVersion(), int64(f.peers.Heard(topicConfig)), failed, set.ApplyWithin, time.Now())
+			f.behind.note(f.Gateway.ConfigVersion(), int64(f.Peers.Heard(f.Topics.Configuration)), failed, set.ApplyWithin, time.Now())
 		}}
 }
 
@@ -29,35 +29,35 @@
 // be read leaves the one before in force.
 func (f *Follower) newConfig(b batch, _ time.Time) uint64 {
 	for _, r := range slices.Backward(b.records) {
-		if r.Key != keyConfig || r.Value == nil {
+		if r.Key != f.Topics.ConfigurationKey || r.Value == nil {
 			continue
 		}
-		table, err := DecodeConfig(r.Value)
+		table, err := f.Decoder.Config(r.Value)
 		if err != nil {
 			telemetry.Count("merlinpost_config_rejected_total")
-			f.logger.Error("configuration rejected", "error", err)
+			f.Logger.Error("configuration rejected", "error", err)
 			continue
 		}
 		f.configBytes = len(r.Value)
-		if f.gateway.SetTable(f.sharing(table), b.at) {
-			f.logger.Info("configuration in force", "config", table.Version, "bytes", b.bytes(), "read_ms", b.took.Milliseconds(),
+		if f.Gateway.SetTable(f.sharing(table), b.at) {
+			f.Logger.Info("configuration in force", "config", table.Version, "bytes", b.bytes(), "read_ms", b.took.Milliseconds(),
 				"apply_ms", time.Since(b.sent.Add(b.took)).Milliseconds(), "reads_for_all", b.first)
 		}
 		break
 	}
-	return uint64(f.gateway.ConfigVersion())
+	return uint64(f.Gateway.ConfigVersion())
 }
 
 // sharing returns the table with the routes and teams of the one in force where they are the
 // same: versions that are kept to be handed on then take the memory of what differs.
 func (f *Follower) sharing(table *routing.Table) *routing.Table {
-	inForce := f.gateway.Table()
+	inForce := f.Gateway.Table()
 	if inForce == nil || inForce.Version >= table.Version {
 		return table
 	}
 	shared, err := inForce.Apply(routing.Diff(inForce, table))
 	if err != nil {
-		f.logger.Error("a change of the configuration can't be applied", "config", table.Version, "error", err)
+		f.Logger.Error("a change of the configuration can't be applied", "config", table.Version, "error", err)
 		return table
 	}
 	return shared
@@ -66,30 +66,30 @@
 // shareConfig offers the version in force to the other gateways; next is where the topic goes
 // on.
 func (f *Follower) shareConfig(next int64) {
-	if table := f.gateway.Table(); table != nil {
-		f.share.Put(configshare.Version{Table: table, Offset: next, Bytes: f.configBytes})
+	if table := f.Gateway.Table(); table != nil {
+		f.Share.Put(configshare.Version{Table: table, Offset: next, Bytes: f.configBytes})
 	}
 }
 
 // configFromPeer takes in the configuration of the gateway that told of a newer one.
 func (f *Follower) configFromPeer(ctx context.Context, r *reading) bool {
-	at, from, newer := f.peers.Newer(topicConfig)
+	at, from, newer := f.Peers.Newer(f.Topics.Configuration)
 	if !newer {
 		return false
 	}
 	start := time.Now()
-	v, packed, err := f.share.Fetch(ctx, from, f.gateway.Table())
+	v, packed, err := f.Share.Fetch(ctx, from, f.Gateway.Table())
 	if err != nil {
-		f.logger.Warn("configuration not fetched", "from", from, "error", err, "took_ms", time.Since(start).Milliseconds())
+		f.Logger.Warn("configuration not fetched", "from", from, "error", err, "took_ms", time.Since(start).Milliseconds())
 		return false
 	}
 	f.configBytes = v.Bytes
-	if f.gateway.SetTable(v.Table, at) {
-		f.logger.Info("configuration in force", "config", v.Table.Version, "fetched_from", from, "fetched_bytes", packed,
+	if f.Gateway.SetTable(v.Table, at) {
+		f.Logger.Info("configuration in force", "config", v.Table.Version, "fetched_from", from, "fetched_bytes", packed,
 			"took_ms", time.Since(start).Milliseconds())
 	}
 	r.next, r.loaded, r.behind, r.news = max(r.next, v.Offset), true, false, false
-	f.share.Put(v)
-	f.peers.Find(topicConfig, uint64(f.gateway.ConfigVersion()), at, r.since)
+	f.Share.Put(v)
+	f.Peers.Find(f.Topics.Configuration, uint64(f.Gateway.ConfigVersion()), at, r.since)
 	return true
 }
--- a/platform/deployment_test.go
+++ b/internal/follow/deployment_test.go
@@ -1,10 +1,9 @@
-package platform
+package follow_test
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -17,12 +16,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/merlinpost/merlinpost/internal/configshare"
+	"github.com/merlinpost/merlinpost/internal/follow"
 	"github.com/merlinpost/merlinpost/internal/gateway"
 	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/rendezvous"
 	"github.com/merlinpost/merlinpost/internal/standin/memnet"
 	"github.com/merlinpost/merlinpost/internal/standin/platformstore"
+	"github.com/merlinpost/merlinpost/platform"
 )
 
 // simulated is a gateway of a deployment in simulated time.
@@ -69,20 +70,16 @@
 	for _, spec := range specs {
 		h := &simulated{name: spec.name, link: d.net.Host(spec.rate)}
 		servers := registry.New()
-		h.gateway = gateway.New(gateway.Settings{}, Dialect{}, servers, quiet())
+		h.gateway = gateway.New(gateway.Settings{}, platform.Dialect{}, servers, quiet())
 		h.peers = peers.New(spec.name, h.link.Packets(peerPort), peers.Capacity{Cores: spec.cores, LinkMbps: uint32(spec.rate / 1e6)}, h.gateway, quiet())
-		set := Settings{Store: d.storeAt.Address(storePort).String(), DrainWithin: simulatedApply, ApplyWithin: simulatedApply,
-			RecordBytes: recordBytes}
-		share := configshare.New(h.link.DialContext, spec.rate/1e6, quiet())
 		asks := h.link.Listen(peerPort)
-		f := NewFollower(set, h.gateway, servers, h.peers, share, quiet())
-		f.store.Store(newStore(set.Store, func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-			defer cancel()
-			return h.link.DialContext(ctx, network, address)
-		}))
+		ofHost := parts(h.gateway, servers, h.peers)
+		ofHost.Share = configshare.New(h.link.DialContext, spec.rate/1e6, quiet())
+		ofHost.Connect = func(address string) follow.Store { return platform.NewStoreOver(h.link.DialContext, address) }
+		f := follow.New(ofHost, follow.Settings{Address: d.storeAt.Address(storePort).String(), DrainWithin: simulatedApply,
+			ApplyWithin: simulatedApply, RecordBytes: recordBytes})
 		duties.Go(func() { h.peers.Run(ctx) })
-		duties.Go(func() { share.Serve(ctx, asks) })
+		duties.Go(func() { ofHost.Share.Serve(ctx, asks) })
 		duties.Go(func() { f.Run(ctx) })
 		d.hosts = append(d.hosts, h)
 	}
@@ -92,7 +89,7 @@
 		_ = server.Close() // what is on its way is cut
 		d.net.Close()
 		duties.Wait()
-		time.Sleep(2 * connectTimeout) // connections that were being opened
+		time.Sleep(time.Second) // connections that were being opened
 	}
 }
 
@@ -129,7 +126,7 @@
 	for i := range n {
 		names = append(names, fmt.Sprint("edge-", i))
 	}
-	return rendezvous.Rank(topicConfig, names)
+	return rendezvous.Rank(platform.Topics.Configuration, names)
 }
 
 // What users saw: a change that had been confirmed was not in force seconds later, on hosts
--- a/platform/follow.go
+++ b/internal/follow/follow.go
@@ -1,4 +1,8 @@
-package platform
+// Package follow keeps a gateway's configuration and its list of backend servers up to date
+// with the store in which they are written. It decides when the store is read, by which gateway,
+// what another gateway hands on instead, and what a failure of the store means; what its records
+// say is decoded for it.
+package follow
 
 import (
 	"context"
@@ -12,6 +16,7 @@
 	"github.com/merlinpost/merlinpost/internal/gateway"
 	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/internal/routing"
 )
 
 const (
@@ -30,10 +35,67 @@
 	stagger, laterMost = 60 * time.Millisecond, 300 * time.Millisecond
 	// lapseEvery is how often removals that are held back are looked at.
 	lapseEvery = 200 * time.Millisecond
+	// listReadKB is how much one read of the list returns at most, 0.2 s of the slowest links,
+	// which carry 10 Mbit/s.
+	listReadKB = 256
+	// newestReadKB is the same where only the newest record counts: one record, or some small
+	// ones. A storm of versions of 300 KB would take 0.24 s each on such a link.
+	newestReadKB = 16
 	// leastPause bounds how often one gateway reads a topic, in a storm of changes.
 	leastPause = 150 * time.Millisecond
 )
 
+// Record is the newest value of a key. A nil Value means that the key is gone.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Store is what is followed. Its topics hold the newest record of each key for good, and all
+// records for a while.
+type Store interface {
+	// Read returns the records of a topic from an offset on, the offset of the next one, and
+	// the end of the topic, which lies behind it if more records are there than the read
+	// returns: up to maxKB, or one record. It waits up to wait for a record to come, and gives
+	// up when nothing comes for timeout beside that. Errors have code LogTruncated when the
+	// records have been deleted, else LogDown.
+	Read(ctx context.Context, topic string, from int64, maxKB int, wait, timeout time.Duration) (records []Record, next, end int64, err error)
+	// Newest returns the newest record of each key and the offset from which changes are to
+	// be read. What comes while it reads may be in both.
+	Newest(ctx context.Context, topic string, timeout time.Duration) (records []Record, next int64, err error)
+	// Put appends a record. After an error it may have been appended or may still be.
+	Put(ctx context.Context, topic string, r Record, timeout time.Duration) error
+}
+
+// Topics are the names of what is followed.
+type Topics struct {
+	// Configuration is the topic, and ConfigurationKey the key, of the operator's value.
+	Configuration, ConfigurationKey string
+	// Servers has an entry for each backend server, by its ID.
+	Servers string
+	// Gateways is our own: where each gateway is reached by the others.
+	Gateways string
+}
+
+// Decoder reads values. Errors have code InvalidConfig and name the field.
+type Decoder interface {
+	Config(value []byte) (*routing.Table, error)
+	Server(id string, value []byte) (*registry.Server, error)
+}
+
+// Settings are what the platform promises and asks for.
+type Settings struct {
+	// Address is that of the store.
+	Address string
+	// DrainWithin is the time within which a draining backend server must get no
+	// more work.
+	DrainWithin time.Duration
+	// ApplyWithin is the time within which a configuration must be in force.
+	ApplyWithin time.Duration
+	// RecordBytes is the largest record that the store takes from its users, 0 for not known.
+	RecordBytes int
+}
+
 // Peers are the other gateways, who share what they have read.
 type Peers interface {
 	// Rank is the place of this gateway in the order for a topic, 0 first.
@@ -61,16 +123,28 @@
 	Self() peers.Member
 }
 
+// Parts are what a follower works on.
+type Parts struct {
+	// Connect returns the store at an address.
+	Connect func(address string) Store
+	Topics  Topics
+	Decoder Decoder
+	Gateway *gateway.Gateway
+	Servers *registry.Registry
+	Peers   Peers
+	Share   *configshare.Share
+	Logger  *slog.Logger
+}
+
+// connection is the store at the address in force.
+type connection struct{ Store }
+
 // Follower keeps a gateway's configuration and list of backend servers up to
 // date with the store.
 type Follower struct {
-	store    atomic.Pointer[Store]
+	Parts
+	store    atomic.Pointer[connection]
 	settings atomic.Pointer[Settings]
-	gateway  *gateway.Gateway
-	servers  *registry.Registry
-	peers    Peers
-	share    *configshare.Share
-	logger   *slog.Logger
 	// lostStore is set while the list can't be read.
 	lostStore atomic.Bool
 	behind    lag
@@ -85,10 +159,10 @@
 	entries map[string]uint64
 }
 
-// NewFollower returns a follower; Run is its duty.
-func NewFollower(s Settings, g *gateway.Gateway, servers *registry.Registry, others Peers, share *configshare.Share, logger *slog.Logger) *Follower {
-	f := &Follower{gateway: g, servers: servers, peers: others, share: share, logger: logger, behind: lag{logger: logger}, entries: map[string]uint64{}}
-	f.peers.Versioned(topicConfig)
+// New returns a follower; Run is its duty.
+func New(parts Parts, s Settings) *Follower {
+	f := &Follower{Parts: parts, behind: lag{logger: parts.Logger}, entries: map[string]uint64{}}
+	f.Peers.Versioned(f.Topics.Configuration)
 	f.SetSettings(s)
 	return f
 }
@@ -97,8 +171,8 @@
 // from the next call on.
 func (f *Follower) SetSettings(s Settings) {
 	old := f.settings.Swap(&s)
-	if old == nil || old.Store != s.Store {
-		f.store.Store(NewStore(s.Store))
+	if old == nil || old.Address != s.Address {
+		f.store.Store(&connection{f.Connect(s.Address)})
 	}
 }
 
@@ -114,7 +188,7 @@
 	r := reading{}
 	for ctx.Err() == nil {
 		t := timing()
-		first := f.peers.Rank(t.name) == 0
+		first := f.Peers.Rank(t.name) == 0
 		if r.loaded && !r.down && !r.behind {
 			f.awaitDue(ctx, t, first, &r)
 		}
@@ -128,10 +202,10 @@
 func (f *Follower) awaitDue(ctx context.Context, t topic, first bool, r *reading) {
 	sleep(ctx, leastPause)
 	for ctx.Err() == nil {
-		confirmed, changed := f.peers.Confirmed(t.name)
+		confirmed, changed := f.Peers.Confirmed(t.name)
 		age := t.pause
 		if !first {
-			age = t.bound.Patience(t.slowestRead) + min(time.Duration(f.peers.Rank(t.name))*stagger, laterMost)
+			age = t.bound.Patience(t.slowestRead) + min(time.Duration(f.Peers.Rank(t.name))*stagger, laterMost)
 		}
 		t.confirm(confirmed, f.graceFrom(t.name, r))
 		t.watch(r.failed)
@@ -156,10 +230,10 @@
 // the store asks as often as the one that reads for all.
 func (f *Follower) awaitRetry(ctx context.Context, t topic) {
 	pause := retryPause
-	if f.gateway.Ready() {
-		pause = min(retryPause*time.Duration(1+f.peers.Rank(t.name)), retryMost)
+	if f.Gateway.Ready() {
+		pause = min(retryPause*time.Duration(1+f.Peers.Rank(t.name)), retryMost)
 	}
-	_, changed := f.peers.Confirmed(t.name)
+	_, changed := f.Peers.Confirmed(t.name)
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
--- /dev/null
+++ b/internal/follow/follow_suite_test.go
@@ -0,0 +1,13 @@
+package follow_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFollow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "follow")
+}
--- a/platform/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -1,4 +1,4 @@
-package platform
+package follow_test
 
 import (
 	"context"
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,10 +16,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/merlinpost/merlinpost/internal/configshare"
+	"github.com/merlinpost/merlinpost/internal/follow"
 	"github.com/merlinpost/merlinpost/internal/gateway"
 	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/standin/platformstore"
+	"github.com/merlinpost/merlinpost/platform"
 )
 
 // within is how long a change may take to be seen over the stand-in store.
@@ -30,21 +31,23 @@
 
 // openPeers returns a gateway without others.
 func openPeers(host string) *peers.Peers {
-	p, err := peers.Open(host, "127.0.0.1:0", peers.Capacity{Cores: 0.3}, gateway.New(gateway.Settings{}, Dialect{}, registry.New(), quiet()), quiet())
+	p, err := peers.Open(host, "127.0.0.1:0", peers.Capacity{Cores: 0.3}, gateway.New(gateway.Settings{}, platform.Dialect{}, registry.New(), quiet()), quiet())
 	if err != nil {
 		panic(err) // no loopback address
 	}
 	return p
 }
 
-// unshared returns a share that reaches nobody.
-func unshared() *configshare.Share {
-	return configshare.New((&net.Dialer{}).DialContext, 0, quiet())
+// parts are those of a follower of the stand-in, with a share that reaches nobody.
+func parts(gw *gateway.Gateway, servers *registry.Registry, others follow.Peers) follow.Parts {
+	return follow.Parts{
+		Connect: func(address string) follow.Store { return platform.NewStore(address) }, Topics: platform.Topics, Decoder: platform.Decoder{},
+		Gateway: gw, Servers: servers, Peers: others, Share: configshare.New((&net.Dialer{}).DialContext, 0, quiet()), Logger: quiet(),
+	}
 }
 
-func configVersion(version int) []byte {
-	return []byte(strings.Replace(configText, `"version":7`, fmt.Sprintf(`"version":%d`, version), 1))
-}
+// configVersion is a small configuration.
+func configVersion(version int) []byte { return largeConfig(version, 1, 1) }
 
 // largeConfig is a configuration of so many routes and teams: 270 bytes a route, 110 a
 // team.
@@ -74,7 +77,7 @@
 		store   *platformstore.Store
 		gw      *gateway.Gateway
 		servers *registry.Registry
-		set     Settings
+		set     follow.Settings
 	)
 	ids := func() []string {
 		var out []string
@@ -92,15 +95,15 @@
 		others := openPeers("h1")
 		var duties sync.WaitGroup
 		duties.Go(func() { others.Run(ctx) })
-		duties.Go(func() { NewFollower(set, gw, servers, others, unshared(), quiet()).Run(ctx) })
+		duties.Go(func() { follow.New(parts(gw, servers, others), set).Run(ctx) })
 		DeferCleanup(func() { cancel(); duties.Wait() })
 	}
 	BeforeEach(func() {
 		store = platformstore.Start()
 		DeferCleanup(store.Close)
 		servers = registry.New()
-		gw = gateway.New(gateway.Settings{}, Dialect{}, servers, quiet())
-		set = Settings{Store: store.Address(), DrainWithin: 60 * time.Millisecond, ApplyWithin: 200 * time.Millisecond}
+		gw = gateway.New(gateway.Settings{}, platform.Dialect{}, servers, quiet())
+		set = follow.Settings{Address: store.Address(), DrainWithin: 60 * time.Millisecond, ApplyWithin: 200 * time.Millisecond}
 	})
 
 	It("makes the gateway ready once it knows configuration and servers", func() {
@@ -205,13 +208,13 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		cutOff, other := openPeers("h1"), openPeers("h2")
 		var duties sync.WaitGroup
-		f := NewFollower(set, gw, servers, cutOff, unshared(), quiet())
+		f := follow.New(parts(gw, servers, cutOff), set)
 		others := registry.New()
 		duties.Go(func() { cutOff.Run(ctx) })
 		duties.Go(func() { other.Run(ctx) })
 		duties.Go(func() { f.Run(ctx) })
 		duties.Go(func() {
-			NewFollower(set, gateway.New(gateway.Settings{}, Dialect{}, others, quiet()), others, other, unshared(), quiet()).Run(ctx)
+			follow.New(parts(gateway.New(gateway.Settings{}, platform.Dialect{}, others, quiet()), others, other), set).Run(ctx)
 		})
 		DeferCleanup(func() { cancel(); duties.Wait() })
 		Eventually(ids, within).Should(ConsistOf("i-1", "i-2"))
@@ -219,12 +222,14 @@
 		Eventually(others.Loaded, within).Should(BeTrue())
 		reads := store.Reads()
 		Eventually(store.Reads, within).Should(BeNumerically(">", reads+6)) // both were in touch for a while
-		reachable := f.store.Swap(NewStore("127.0.0.1:1"))
-		Eventually(func() bool { return f.lostStore.Load() }, within).Should(BeTrue())
+		unreachable := set
+		unreachable.Address = "127.0.0.1:1"
+		f.SetSettings(unreachable)
+		Eventually(f.LostStore, within).Should(BeTrue())
 		store.Put(platformstore.TopicServers, "i-2", nil)
-		Eventually(func() bool { return cutOff.StoreUpSince(topicServers).IsZero() }, within).Should(BeFalse())
-		f.store.Store(reachable)
-		Eventually(ids, returnGrace-500*time.Millisecond).Should(ConsistOf("i-1"))
+		Eventually(func() bool { return cutOff.StoreUpSince(platform.Topics.Servers).IsZero() }, within).Should(BeFalse())
+		f.SetSettings(set)
+		Eventually(ids, follow.ReturnGrace-500*time.Millisecond).Should(ConsistOf("i-1"))
 	})
 
 	It("gives up a call that gets no answer", func() {
@@ -242,21 +247,21 @@
 func TestTheConfigurationNeverGoesBack(t *testing.T) {
 	others := openPeers("h1")
 	rapid.Check(t, func(t *rapid.T) {
-		gw := gateway.New(gateway.Settings{}, Dialect{}, registry.New(), quiet())
-		f := NewFollower(Settings{}, gw, registry.New(), others, unshared(), quiet())
+		gw := gateway.New(gateway.Settings{}, platform.Dialect{}, registry.New(), quiet())
+		f := follow.New(parts(gw, registry.New(), others), follow.Settings{})
 		var last int64
 		for range rapid.IntRange(1, 8).Draw(t, "reads") {
-			var records []Record
+			var records []follow.Record
 			for range rapid.IntRange(0, 4).Draw(t, "records") {
-				records = append(records, Record{Key: keyConfig, Value: configVersion(rapid.IntRange(1, 20).Draw(t, "version"))})
+				records = append(records, follow.Record{Key: platform.Topics.ConfigurationKey, Value: configVersion(rapid.IntRange(1, 20).Draw(t, "version"))})
 			}
-			f.newConfig(batch{records: records}, time.Time{})
+			f.NewConfig(records)
 			version := gw.ConfigVersion()
 			if version < last {
 				t.Fatalf("version %d after %d", version, last)
 			}
 			if n := len(records); n > 0 {
-				if table, err := DecodeConfig(records[n-1].Value); err == nil && table.Version > version {
+				if table, err := platform.DecodeConfig(records[n-1].Value); err == nil && table.Version > version {
 					t.Fatalf("version %d is in force, %d was read", version, table.Version)
 				}
 			}
--- a/platform/gateways.go
+++ b/internal/follow/gateways.go
@@ -1,4 +1,4 @@
-package platform
+package follow
 
 import (
 	"context"
@@ -36,22 +36,22 @@
 }
 
 func (f *Follower) enterGateway(ctx context.Context) bool {
-	self := f.peers.Self()
+	self := f.Peers.Self()
 	value, err := json.Marshal(gatewayDoc{self.Address})
 	if err == nil {
-		err = f.store.Load().Put(ctx, topicGateways, Record{self.Host, value}, readTimeout)
+		err = f.store.Load().Put(ctx, f.Topics.Gateways, Record{self.Host, value}, readTimeout)
 	}
 	if err != nil && ctx.Err() == nil {
-		f.logger.Warn("gateway not entered in the store yet", "error", err)
+		f.Logger.Warn("gateway not entered in the store yet", "error", err)
 	}
 	return err == nil
 }
 
 func (f *Follower) readGateways(ctx context.Context) bool {
-	records, _, err := f.store.Load().Newest(ctx, topicGateways, readTimeout)
+	records, _, err := f.store.Load().Newest(ctx, f.Topics.Gateways, readTimeout)
 	if err != nil {
 		if ctx.Err() == nil {
-			f.logger.Warn("list of gateways not read", "error", err)
+			f.Logger.Warn("list of gateways not read", "error", err)
 		}
 		return false
 	}
@@ -59,11 +59,11 @@
 	for _, r := range records {
 		var doc gatewayDoc
 		if err := json.Unmarshal(r.Value, &doc); err != nil {
-			f.logger.Error("gateway entry rejected", "host", r.Key, "error", err)
+			f.Logger.Error("gateway entry rejected", "host", r.Key, "error", err)
 			continue
 		}
 		list = append(list, peers.Member{Host: r.Key, Address: doc.Address})
 	}
-	f.peers.List(list)
+	f.Peers.List(list)
 	return true
 }
--- a/platform/list.go
+++ b/internal/follow/list.go
@@ -1,4 +1,4 @@
-package platform
+package follow
 
 import (
 	"fmt"
@@ -26,8 +26,8 @@
 		}
 	}
 	now := time.Now()
-	f.logDropped(f.servers.Apply(unreadable, now, time.Time{}))
-	f.logDropped(f.servers.Replace(list, now, grace(returned)))
+	f.logDropped(f.Servers.Apply(unreadable, now, time.Time{}))
+	f.logDropped(f.Servers.Replace(list, now, grace(returned)))
 	return f.listState()
 }
 
@@ -43,13 +43,13 @@
 		s := f.decode(r)
 		changes = append(changes, registry.Change{ID: r.Key, Server: s, Unusable: s == nil})
 	}
-	f.logDropped(f.servers.Apply(changes, time.Now(), grace(returned)))
+	f.logDropped(f.Servers.Apply(changes, time.Now(), grace(returned)))
 	return f.listState()
 }
 
 // confirmList takes in that the list was found unchanged.
 func (f *Follower) confirmList(at, returned time.Time) {
-	f.logDropped(f.servers.Confirmed(at, time.Now(), grace(returned)))
+	f.logDropped(f.Servers.Confirmed(at, time.Now(), grace(returned)))
 }
 
 // listState is the digest of the list.
@@ -63,13 +63,13 @@
 
 // decode reads an entry; nil for one that names no server to use, which is logged.
 func (f *Follower) decode(r Record) *registry.Server {
-	s, err := DecodeServer(r.Key, r.Value)
+	s, err := f.Decoder.Server(r.Key, r.Value)
 	if err != nil {
 		delete(f.entries, r.Key)
 		reason := fault.From(err).Field
 		telemetry.Count("merlinpost_server_entries_rejected_total", "reason", reason)
 		if f.rejected.Allow(reason, time.Now()) {
-			f.logger.Error("server entry rejected", "server", r.Key, "field", reason, "error", err)
+			f.Logger.Error("server entry rejected", "server", r.Key, "field", reason, "error", err)
 		}
 		return nil
 	}
@@ -79,6 +79,6 @@
 
 func (f *Follower) logDropped(ids []string) {
 	if len(ids) > 0 {
-		f.logger.Info("backend servers dropped", "servers", ids)
+		f.Logger.Info("backend servers dropped", "servers", ids)
 	}
 }
--- /dev/null
+++ b/internal/follow/list_test.go
@@ -0,0 +1,115 @@
+package follow_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/merlinpost/merlinpost/internal/follow"
+	"github.com/merlinpost/merlinpost/internal/gateway"
+	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/platform"
+)
+
+const goodEntry = `{"service":"s1","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,"state":"ready",` +
+	`"cold_remaining_ms":0,"sequence":4,"born":1764720000000,"stage":"colocated"}`
+
+// alone is a gateway among no others.
+type alone struct{ follow.Peers }
+
+func (alone) StoreUpSince(string) time.Time { return time.Time{} }
+func (alone) Versioned(string)              {}
+
+// unconnected returns a follower that is not connected to a store, and its list.
+func unconnected() (*follow.Follower, *registry.Registry) {
+	servers := registry.New()
+	gw := gateway.New(gateway.Settings{}, platform.Dialect{}, servers, quiet())
+	return follow.New(parts(gw, servers, alone{}), follow.Settings{Address: "127.0.0.1:1"}), servers
+}
+
+func listed(servers *registry.Registry) []string {
+	var out []string
+	for _, b := range servers.Ready("s1") {
+		s := b.Server()
+		out = append(out, s.Start()+" "+s.Address)
+	}
+	return out
+}
+
+// Any series of entries, split anywhere between a whole read and changes, gives the same
+// list. Entries that can't be read were dropped by a whole read and left the entry
+// before in force as a change.
+func TestAWholeReadAndChangesGiveTheSameList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entry := rapid.Custom(func(t *rapid.T) follow.Record {
+			r := follow.Record{Key: rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(t, "server")}
+			doc := map[string]any{}
+			if err := json.Unmarshal([]byte(goodEntry), &doc); err != nil {
+				t.Fatal(err)
+			}
+			doc["address"] = fmt.Sprint("10.0.0.", rapid.IntRange(1, 3).Draw(t, "address"), ":80")
+			doc["born"] = rapid.IntRange(1, 2).Draw(t, "born")
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				return r // removed
+			case 1:
+				doc["state"] = "draining"
+			case 2:
+				delete(doc, rapid.SampledFrom([]string{"service", "address", "zone", "slots", "state", "sequence"}).Draw(t, "missing"))
+			case 3:
+				r.Value = rapid.SliceOfN(rapid.Byte(), 1, 20).Draw(t, "bytes")
+				return r
+			}
+			var err error
+			if r.Value, err = json.Marshal(doc); err != nil {
+				t.Fatal(err)
+			}
+			return r
+		})
+		written := rapid.SliceOfN(entry, 1, 20).Draw(t, "entries")
+		split := rapid.IntRange(0, len(written)).Draw(t, "split")
+
+		newest := func(records []follow.Record) []follow.Record {
+			last := map[string]follow.Record{}
+			for _, r := range records {
+				last[r.Key] = r
+			}
+			var out []follow.Record
+			for _, r := range last {
+				if r.Value != nil {
+					out = append(out, r)
+				}
+			}
+			slices.SortFunc(out, func(a, b follow.Record) int { return strings.Compare(a.Key, b.Key) })
+			return out
+		}
+		whole, wholeList := unconnected()
+		wholeState := whole.WholeList(newest(written), time.Time{})
+		changes, changedList := unconnected()
+		changes.WholeList(newest(written[:split]), time.Time{})
+		changedState := changes.NewEntries(written[split:], time.Time{})
+		g := NewWithT(t)
+		g.Expect(listed(changedList)).To(Equal(listed(wholeList)))
+		g.Expect(changedState).To(Equal(wholeState))
+	})
+}
+
+// While removals are held back after an outage of the store, an entry that names no
+// server to use still counts at once: no outage explains it.
+func TestAnUnusableEntryIsNotHeldBack(t *testing.T) {
+	g := NewWithT(t)
+	f, servers := unconnected()
+	f.WholeList([]follow.Record{{Key: "i-1", Value: []byte(goodEntry)}, {Key: "i-2", Value: []byte(goodEntry)}, {Key: "i-3", Value: []byte(goodEntry)}}, time.Time{})
+	g.Expect(listed(servers)).To(HaveLen(3))
+	returned := time.Now()
+	f.NewEntries([]follow.Record{{Key: "i-1", Value: []byte(`{}`)}}, returned)
+	g.Expect(listed(servers)).To(HaveLen(2))
+	f.WholeList([]follow.Record{{Key: "i-2", Value: []byte(`x`)}}, returned)
+	g.Expect(listed(servers)).To(HaveLen(1)) // i-3 may be back
+}
--- a/platform/reading.go
+++ b/internal/follow/reading.go
@@ -1,4 +1,4 @@
-package platform
+package follow
 
 import (
 	"context"
@@ -47,7 +47,7 @@
 	case ctx.Err() != nil:
 		return
 	case fault.Is(err, fault.LogTruncated):
-		f.logger.Info("the store has deleted records, reading the newest", "topic", t.name, "from", r.next)
+		f.Logger.Info("the store has deleted records, reading the newest", "topic", t.name, "from", r.next)
 		r.loaded = false
 		return
 	case err != nil:
@@ -58,9 +58,9 @@
 		return
 	case r.down:
 		r.down, r.returned, r.since, r.lost = false, time.Now(), time.Now(), r.lastGood
-		f.logger.Info("regained the store", "topic", t.name, "offset", next)
+		f.Logger.Info("regained the store", "topic", t.name, "offset", next)
 		f.answered.tell()
-		if t.name == topicServers {
+		if t.name == f.Topics.Servers {
 			f.lostStore.Store(false)
 		}
 	}
@@ -73,7 +73,7 @@
 	r.advance(t, records, next, end)
 	if !r.behind {
 		t.offer(r.next)
-		f.peers.Find(t.name, state, b.at, r.since)
+		f.Peers.Find(t.name, state, b.at, r.since)
 	}
 }
 
@@ -95,7 +95,7 @@
 // another gateway was answered all the while: then only this host was cut off, no
 // entry has lapsed for want of the store, and none that is missing will be back.
 func (f *Follower) graceFrom(topic string, r *reading) time.Time {
-	up := f.peers.StoreUpSince(topic)
+	up := f.Peers.StoreUpSince(topic)
 	if !up.IsZero() && up.Before(r.lost) {
 		r.returned = time.Time{}
 	}
@@ -105,11 +105,11 @@
 // lost logs that the store can't be read, once.
 func (f *Follower) lost(t topic, r *reading, err error) {
 	if !r.down {
-		f.logger.Warn("lost the store", "topic", t.name, "error", err)
+		f.Logger.Warn("lost the store", "topic", t.name, "error", err)
 		telemetry.Count("merlinpost_store_lost_total", "topic", t.name)
 	}
 	r.down = true
-	if t.name == topicServers {
+	if t.name == f.Topics.Servers {
 		f.lostStore.Store(true)
 	}
 }
--- a/platform/signal.go
+++ b/internal/follow/signal.go
@@ -1,4 +1,4 @@
-package platform
+package follow
 
 import "sync"
 
--- a/platform/topic.go
+++ b/internal/follow/topic.go
@@ -1,4 +1,4 @@
-package platform
+package follow
 
 import (
 	"context"
@@ -66,7 +66,7 @@
 // within DrainWithin.
 func (f *Follower) serversTopic() topic {
 	within := f.settings.Load().DrainWithin
-	return topic{name: topicServers, maxKB: listReadKB, bound: bound(within, 0.45), pause: within / 3,
+	return topic{name: f.Topics.Servers, maxKB: listReadKB, bound: bound(within, 0.45), pause: within / 3,
 		confirm: f.confirmList, whole: f.wholeList, added: f.newEntries,
 		fromPeer: func(context.Context, *reading) bool { return false }, offer: func(int64) {}, watch: func(error) {}}
 }
