--- /dev/null
+++ b/internal/standin/memnet/memnet_test.go
@@ -0,0 +1,84 @@
+package memnet
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const delay = time.Millisecond
+
+// Two connections to a host share its link, and the slower of two links counts.
+func TestALinkHasARate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := New(delay)
+		defer n.Close()
+		slow, fast := n.Host(1e6), n.Host(10e6)
+		listener := fast.Listen(80)
+		start := time.Now()
+		done := make(chan time.Duration)
+		for range 2 {
+			conn, err := slow.DialContext(context.Background(), "tcp", fast.Address(80).String())
+			g.Expect(err).NotTo(HaveOccurred())
+			sender, err := listener.Accept()
+			g.Expect(err).NotTo(HaveOccurred())
+			go func() {
+				_, _ = sender.Write(make([]byte, 62_500)) // half a second alone
+				_ = sender.Close()
+			}()
+			go func() {
+				_, _ = io.Copy(io.Discard, conn)
+				done <- time.Since(start)
+			}()
+		}
+		g.Expect(max(<-done, <-done)).To(BeNumerically("~", time.Second+delay, 20*time.Millisecond))
+	})
+}
+
+// A cut holds connections up and loses datagrams.
+func TestACutPathHoldsUpAndLoses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := New(delay)
+		defer n.Close()
+		a, b := n.Host(0), n.Host(0)
+		listener := b.Listen(80)
+		conn, err := a.DialContext(context.Background(), "tcp", b.Address(80).String())
+		g.Expect(err).NotTo(HaveOccurred())
+		far, err := listener.Accept()
+		g.Expect(err).NotTo(HaveOccurred())
+		from, to := a.Packets(81), b.Packets(81)
+
+		n.Cut(a, b, true)
+		_, err = from.WriteToUDPAddrPort([]byte("lost"), b.Address(81))
+		g.Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err = a.DialContext(ctx, "tcp", b.Address(80).String())
+		g.Expect(err).To(MatchError(context.DeadlineExceeded))
+
+		time.AfterFunc(time.Second, func() { n.Cut(a, b, false) })
+		start := time.Now()
+		go func() { _, _ = conn.Write([]byte("held up")) }()
+		buf := make([]byte, 7)
+		_, err = io.ReadFull(far, buf)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(buf)).To(Equal("held up"))
+		g.Expect(time.Since(start)).To(BeNumerically(">=", time.Second))
+
+		_, err = from.WriteToUDPAddrPort([]byte("next"), b.Address(81))
+		g.Expect(err).NotTo(HaveOccurred())
+		got, sender, err := to.ReadFromUDPAddrPort(buf)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(buf[:got])).To(Equal("next"))
+		g.Expect(sender).To(Equal(a.Address(81)))
+
+		_, err = a.DialContext(context.Background(), "tcp", b.Address(82).String())
+		g.Expect(err).To(MatchError(errRefused))
+	})
+}
