Small hosts leave the reading to a large one when the first falls silent

Hypothesis: with the one that reads for all cut off from the store at the moment of a change, all others lose patience within 0.3 s, and where the store is slow each of them reads the whole value. Change: small hosts read 0.5 s later than large ones, and all lose patience so much earlier that the slowest still has its time. The test (240 ms to an answer, first one cut off) failed before: 820 KB came to a host of 10 Mbit/s.

--- a/internal/follow/configuration.go
+++ b/internal/follow/configuration.go
@@ -15,9 +15,14 @@
 // force within ApplyWithin.
 func (f *Follower) configTopic() topic {
 	set := f.settings.Load()
-	return topic{name: f.Topics.Configuration, key: f.Topics.ConfigurationKey, maxKB: newestReadKB, bound: bound(set.ApplyWithin, 0.7), pause: leastPause, waits: true,
+	bound := bound(set.ApplyWithin, 0.7)
+	if _, some := f.Peers.Small(); some {
+		bound.Spread += handOnTime
+	}
+	return topic{name: f.Topics.Configuration, key: f.Topics.ConfigurationKey, maxKB: newestReadKB, bound: bound, pause: leastPause, waits: true,
 		slowestRead: freshness.Reading(f.configBytes, set.RecordBytes, float64(f.Peers.SlowestLink())),
 		confirm:     func(at, _ time.Time) { f.Gateway.ConfirmTable(at) }, whole: f.newConfig, added: f.newConfig,
+		handedOn: true,
 		fromPeer: f.configFromPeer,
 		offer:    f.shareConfig,
 		watch: func(failed error) {
--- a/internal/follow/deployment_test.go
+++ b/internal/follow/deployment_test.go
@@ -215,6 +215,36 @@
 	})
 }
 
+// With the one that reads for all cut off right before a change, all others used to read the
+// value by themselves at once. A large host does so first, also from a store that takes 0.24 s
+// to answer, and hands on what differs.
+func TestSmallHostsLeaveTheReadingToALargeOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		specs := []hostSpec{{"a", 10e6, 0.144}, {"b", 10e6, 0.144}, {"c", 200e6, 0.8}, {"d", 200e6, 0.8}, {"e", 10e6, 0.144}}
+		d, end := deploy(specs, sized(1, 600_000))
+		defer end()
+		for _, name := range []string{"c", "d"} {
+			if d.host(name).peers.Rank(platform.Topics.Configuration) == 0 {
+				d.cutFromStore(d.host(name), true)
+			}
+		}
+		before := map[string]int{}
+		for _, h := range d.hosts {
+			before[h.name] = h.link.Received()
+		}
+		d.store.SetDelay(240 * time.Millisecond)
+		d.write(sized(2, 900_000))
+		time.Sleep(simulatedApply)
+		for i, h := range d.hosts {
+			g.Expect(h.gateway.ConfigVersion()).To(BeEquivalentTo(2), h.name)
+			if specs[i].rate == 10e6 {
+				g.Expect(h.link.Received()-before[h.name]).To(BeNumerically("<", 100_000), h.name)
+			}
+		}
+	})
+}
+
 // A host that the store does not answer has changes from the other gateways, and goes on where
 // they were when the store answers it again.
 func TestAHostCutOffFromTheStoreIsHandedChanges(t *testing.T) {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -33,6 +33,10 @@
 	// stagger is by how much each gateway in the order reads later than the one
 	// before it when nothing has been heard; laterMost bounds the sum.
 	stagger, laterMost = 60 * time.Millisecond, 300 * time.Millisecond
+	// handOnTime is by how much small hosts read later still, so that a large one can read
+	// and hand on what differs first: 0.24 s for an answer of a store that is 60 times as
+	// slow as usual, 0.1 s for 0.9 MB at 200 Mbit/s, 0.13 s to hand it on.
+	handOnTime = 500 * time.Millisecond
 	// lapseEvery is how often removals that are held back are looked at.
 	lapseEvery = 200 * time.Millisecond
 	// listReadKB is how much one read of the list returns at most, 0.2 s of the slowest links,
@@ -116,6 +120,9 @@
 	// Confirmed returns when this gateway's state was last found to be the newest,
 	// and a channel that is closed when another finds a newer one.
 	Confirmed(topic string) (at time.Time, changed <-chan struct{})
+	// Small returns whether this host has a small processor or link against the largest, and
+	// whether any has.
+	Small() (self, some bool)
 	// SlowestLink returns the slowest link of the live gateways in Mbit/s, 0 for not known.
 	SlowestLink() uint32
 	// List takes in the gateways that the store lists; Self is this one.
@@ -205,7 +212,7 @@
 		confirmed, changed := f.Peers.Confirmed(t.name)
 		age := t.pause
 		if !first {
-			age = t.bound.Patience(t.slowestRead) + min(time.Duration(f.Peers.Rank(t.name))*stagger, laterMost)
+			age = t.bound.Patience(t.slowestRead) + f.later(t)
 		}
 		t.confirm(confirmed, f.graceFrom(t.name, r))
 		t.watch(r.failed)
@@ -225,6 +232,16 @@
 	}
 }
 
+// later returns by how much this gateway reads later than the first of those that lost
+// patience.
+func (f *Follower) later(t topic) time.Duration {
+	later := min(time.Duration(f.Peers.Rank(t.name))*stagger, laterMost)
+	if small, _ := f.Peers.Small(); small && t.handedOn {
+		later += handOnTime
+	}
+	return later
+}
+
 // awaitRetry waits before a failed call is repeated. It ends at once when a call for
 // another topic is answered, as the store is back, or when another gateway has news. A gateway that serves nobody for want of
 // the store asks as often as the one that reads for all.
--- a/internal/follow/topic.go
+++ b/internal/follow/topic.go
@@ -20,6 +20,8 @@
 	waits bool
 	// slowestRead is how long the next value may take on the slowest link.
 	slowestRead time.Duration
+	// handedOn says that one gateway hands on to the others what it has read.
+	handedOn bool
 	// fromPeer takes in what another gateway has read, if there is news; false leaves it to
 	// the store.
 	fromPeer func(context.Context, *reading) bool
--- a/internal/peers/findings.go
+++ b/internal/peers/findings.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -162,6 +163,15 @@
 	return t.confirmed(), t.changed
 }
 
+// Small reports whether this host has a small processor or link against the largest, and whether
+// any has.
+func (p *Peers) Small() (self, some bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, small := p.members.bySize(time.Now())
+	return slices.Contains(small, p.members.self.Host), len(small) > 0
+}
+
 // SlowestLink returns the slowest link of the live gateways in Mbit/s, 0 where none is known.
 func (p *Peers) SlowestLink() uint32 {
 	p.mu.Lock()
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -65,6 +65,7 @@
 	ip        netip.Addr
 	rate      float64   // bits a second; 0 for a link that takes no time
 	busyUntil time.Time // of the link towards the host
+	received  int
 }
 
 // Host adds a host with a link of so many bits a second, 0 for one that takes no time.
@@ -79,6 +80,13 @@
 // Address returns the host's address with a port.
 func (h *Host) Address(port uint16) netip.AddrPort { return netip.AddrPortFrom(h.ip, port) }
 
+// Received returns how many bytes connections have brought to the host.
+func (h *Host) Received() int {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	return h.received
+}
+
 // Cut cuts the path between two hosts, or mends it. What is on its way in a connection is
 // held up; datagrams are lost.
 func (n *Network) Cut(a, b *Host, cut bool) {
@@ -106,6 +114,7 @@
 func (n *Network) reserve(from, to *Host, bytes int) time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	to.received += bytes
 	now := time.Now()
 	if to.busyUntil.Before(now) {
 		to.busyUntil = now
--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -63,7 +63,8 @@
 	reads   int
 	// PageSize is the number of records on a page of the newest ones.
 	PageSize int
-	chunked  bool       // replies do not state their length
+	chunked  bool // replies do not state their length
+	delay    time.Duration
 	link     sync.Mutex // held while a piece of a reply is on its way
 	perPiece time.Duration
 }
@@ -89,11 +90,21 @@
 	s.chunked = chunked
 }
 
+// SetDelay has each reply begin so much later.
+func (s *Store) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
 // reply writes a reply at the pace of the link.
 func (s *Store) reply(w http.ResponseWriter, r *http.Request, body []byte) {
 	s.mu.Lock()
-	perPiece, chunked := s.perPiece, s.chunked
+	perPiece, chunked, delay := s.perPiece, s.chunked, s.delay
 	s.mu.Unlock()
+	if !standin.Pause(r.Context(), delay) {
+		return
+	}
 	if !chunked {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
