Tell in decision lines which request broke and whether its server ended

Cause: lines tell a broken connection from nothing else, and two attempts with the same request look unrelated, so that the hypotheses could not be told apart. No decision changes yet.

--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -110,5 +110,8 @@
 			slog.Duration("deadline", q.deadline.Sub(q.start)), slog.Int("prompt", q.call.Prompt.Tokens),
 			slog.String("shared", q.sharedPart()))
 	}
+	if q.identity != nil {
+		out = append(out, slog.String("request", q.identity.String()))
+	}
 	return append(out, slog.Any("sends", q.sends))
 }
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -212,6 +212,12 @@
 	if err != nil {
 		s.Cause = err.Error()
 	}
+	if broke(ctx, result, err) {
+		check := g.checkEnd(server)
+		<-check.done
+		s.Ended = check.ended
+		q.id()
+	}
 	q.sends = append(q.sends, s)
 	return result, err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 	bodies   atomic.Int64 // bytes of bodies in progress
 
 	failureLines decisionlog.Limiter
+	ends         endChecks
 
 	mu      sync.Mutex
 	budgets map[string]*retrybudget.Budget   // by service
@@ -76,6 +77,7 @@
 		}),
 		budgets: map[string]*retrybudget.Budget{},
 		answers: map[string]*placement.AnswerTime{},
+		ends:    endChecks{byStart: map[string]*endCheck{}},
 	}
 	servers.OnRestart(g.pool.Forget)
 	g.settings.Store(&set)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/quarantine"
 	"github.com/merlinpost/merlinpost/internal/routing"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
@@ -37,6 +38,17 @@
 	priority int
 	sends    []send
 	asks     int // for leave, so far
+	// identity is set when it is first asked for; see id.
+	identity *quarantine.ID
+}
+
+// id returns what tells this request from others, whichever attempt it is.
+func (q *request) id() quarantine.ID {
+	if q.identity == nil {
+		id := quarantine.Identify(q.teamName(), q.method, q.host, q.target, q.body)
+		q.identity = &id
+	}
+	return *q.identity
 }
 
 // send is one try to have the request run.
@@ -54,6 +66,8 @@
 	Longest time.Duration `json:"longest,omitempty"` // pause between two events
 	At      time.Duration `json:"at"`                // since the request came
 	Took    time.Duration `json:"took"`              // until the answer's head or the failure
+	// Ended is whether the server has ended, where its connection broke.
+	Ended bool `json:"ended,omitempty"`
 }
 
 // sharedPart returns the ID of the prompt part that placement goes by.
