--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -356,7 +356,12 @@
 }
 
 func (f *fleet) askWith(ctx context.Context, client *http.Client, g *gatewayProc, key, route, id string) fleetAnswer {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.ip+":8080/"+route+"/x", strings.NewReader("body of "+id))
+	return f.askFor(ctx, client, g, key, route, id, "body of "+id)
+}
+
+// askFor sends a request with a body of its own.
+func (f *fleet) askFor(ctx context.Context, client *http.Client, g *gatewayProc, key, route, id, body string) fleetAnswer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.ip+":8080/"+route+"/x", strings.NewReader(body))
 	if err != nil {
 		return fleetAnswer{err: err}
 	}
@@ -374,8 +379,8 @@
 		return fleetAnswer{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }() // the body has been read
-	body, err := io.ReadAll(resp.Body)
-	return fleetAnswer{status: resp.StatusCode, body: string(body), err: err}
+	text, err := io.ReadAll(resp.Body)
+	return fleetAnswer{status: resp.StatusCode, body: string(text), err: err}
 }
 
 // want is the right body for a request.
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -76,6 +76,14 @@
 	conns     map[net.Conn]bool
 	opened    int
 	arrivals  []Arrival
+	fatal     fatality
+}
+
+// fatality is a request that ends the worker which begins it.
+type fatality struct {
+	body  string
+	after time.Duration
+	ended func()
 }
 
 // Start returns a running worker that gives plain answers. Close ends it.
@@ -124,6 +132,14 @@
 	w.mu.Unlock()
 }
 
+// EndBy has the worker end when it has run a request with this body for a while. It calls
+// ended then.
+func (w *Worker) EndBy(body string, after time.Duration, ended func()) {
+	w.mu.Lock()
+	w.fatal = fatality{body, after, ended}
+	w.mu.Unlock()
+}
+
 // Runs returns what has run so far.
 func (w *Worker) Runs() []Run {
 	w.mu.Lock()
@@ -229,7 +245,11 @@
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // none is 0
 	w.mu.Lock()
 	w.runs = append(w.runs, Run{ID: id, Method: req.Method, Target: req.RequestURI, Body: string(body), Header: req.Header, From: from, At: time.Now()})
+	fatal := w.fatal
 	w.mu.Unlock()
+	if fatal.ended != nil && string(body) == fatal.body {
+		return w.endBy(c, id, fatal, b.Events > 0)
+	}
 	switch {
 	case b.Drop:
 		return false
@@ -258,6 +278,17 @@
 	return w.plain(c, id, status, seal, Answer(id))
 }
 
+// endBy runs a request that ends the worker, with the head of a stream where one is asked for.
+func (w *Worker) endBy(c net.Conn, id string, f fatality, stream bool) bool {
+	if stream {
+		_ = w.streamHead(c, id) // the caller sees what comes of it
+	}
+	time.Sleep(f.after)
+	w.Close()
+	f.ended()
+	return false
+}
+
 // Answer is the body of the plain answer to a request.
 func Answer(id string) string { return "answer to " + id }
 
@@ -291,13 +322,18 @@
 	w.mu.Unlock()
 }
 
+func (w *Worker) streamHead(c net.Conn, id string) error {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		id, w.seal(id))
+	return err
+}
+
 func (w *Worker) stream(c net.Conn, r *bufio.Reader, id string, from int, b Behaviour) bool {
 	gone := make(chan struct{})
 	if b.Pace > 0 {
 		go func() { w.hang(r); close(gone) }()
 	}
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		id, w.seal(id)); err != nil {
+	if err := w.streamHead(c, id); err != nil {
 		return false
 	}
 	for n := from + 1; n <= b.Events; n++ {
