Keep requests that end servers from the servers that are left

Cause: what is known of a request ended with its attempt; no limit of attempts, sends and repeats holds from one attempt to the next, and gateways tell each other nothing of it.

Now a gateway whose connection breaks asks once whether anybody still listens there. If not, what ran there is a suspect at all gateways, by a digest of team, method, host, path and body. Of a suspect one run goes on at a time; from two ends on also apart from other suspects, and without the precedence of broken streams. Three ends one after the other, without an answer in between and with less than one in a million of chance, make a verdict: refused everywhere with 503 and when to come back, told at once, kept in the store, given to gateways that start. A trial is claimed by a conditional write to the store, so that one gateway has it. An answer ends all suspicion.

--- a/e2e/quarantine_test.go
+++ b/e2e/quarantine_test.go
@@ -350,4 +350,3 @@
 		}
 	}
 }
-
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/merlinpost/merlinpost/internal/follow"
 	"github.com/merlinpost/merlinpost/internal/gateway"
 	"github.com/merlinpost/merlinpost/internal/peers"
+	"github.com/merlinpost/merlinpost/internal/quarantine"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/platform"
 )
@@ -67,6 +68,9 @@
 		Connect: func(address string) follow.Store { return platform.NewStore(address) }, Topics: platform.Topics, Decoder: platform.Decoder{},
 		Gateway: g, Servers: servers, Peers: others, Share: share, Logger: logger,
 	}, set.Follow())
+	keeper := quarantine.NewKeeper(g.Quarantine(), follower.Quarantine(), set.Host, logger)
+	g.UseTrials(keeper)
+	go keeper.Run(ctx)
 	go share.Serve(ctx, asks)
 	go follower.Run(ctx)
 	go others.Run(ctx)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -40,6 +40,8 @@
 	RetryBudget     Code = "retry_budget_spent"
 	RecordsFull     Code = "records_full"
 	LinkBusy        Code = "link_busy"
+	// Quarantined: servers have ended each time they ran the request.
+	Quarantined Code = "quarantined"
 
 	// The system or what it depends on.
 	NoServer     Code = "no_backend_server"
@@ -143,7 +145,8 @@
 	TeamRate: http.StatusTooManyRequests, TeamConcurrency: http.StatusTooManyRequests,
 	QueueFull: http.StatusTooManyRequests, WaitTooLong: http.StatusTooManyRequests,
 	RetryBudget: http.StatusServiceUnavailable, RecordsFull: http.StatusServiceUnavailable,
-	LinkBusy: http.StatusServiceUnavailable, NoServer: http.StatusServiceUnavailable, NoLink: http.StatusServiceUnavailable,
+	Quarantined: http.StatusServiceUnavailable,
+	LinkBusy:    http.StatusServiceUnavailable, NoServer: http.StatusServiceUnavailable, NoLink: http.StatusServiceUnavailable,
 	Draining: http.StatusServiceUnavailable, NotReady: http.StatusServiceUnavailable,
 	LinkLost: http.StatusBadGateway, NotHeld: http.StatusBadGateway,
 	Expired: http.StatusServiceUnavailable, Deadline: http.StatusGatewayTimeout,
--- a/internal/follow/parts.go
+++ b/internal/follow/parts.go
@@ -33,6 +33,8 @@
 	Newest(ctx context.Context, topic string, timeout time.Duration) (records []Record, next int64, err error)
 	// Put appends a record. After an error it may have been appended or may still be.
 	Put(ctx context.Context, topic string, r Record, timeout time.Duration) error
+	// PutAt appends a record only if the topic ends at an offset; else the error has code Conflict.
+	PutAt(ctx context.Context, topic string, r Record, at int64, timeout time.Duration) error
 }
 
 // Topics are the names of what is followed.
@@ -43,6 +45,8 @@
 	Servers string
 	// Gateways is our own: where each gateway is reached by the others.
 	Gateways string
+	// Quarantine is our own: the requests that ended servers, by their ID.
+	Quarantine string
 }
 
 // Decoder reads values. Errors have code InvalidConfig and name the field.
--- /dev/null
+++ b/internal/follow/quarantine.go
@@ -0,0 +1,35 @@
+package follow
+
+import (
+	"context"
+
+	"github.com/merlinpost/merlinpost/internal/quarantine"
+)
+
+// verdictStore is the topic of verdicts at the store in force.
+type verdictStore struct{ f *Follower }
+
+// Quarantine returns the store of verdicts.
+func (f *Follower) Quarantine() quarantine.Store { return verdictStore{f} }
+
+// Newest implements quarantine.Store.
+func (s verdictStore) Newest(ctx context.Context) (map[string][]byte, int64, error) {
+	records, end, err := s.f.store.Load().Newest(ctx, s.f.Topics.Quarantine, readTimeout)
+	if err != nil {
+		return nil, 0, err
+	}
+	kept := make(map[string][]byte, len(records))
+	for _, r := range records {
+		kept[r.Key] = r.Value
+	}
+	return kept, end, nil
+}
+
+// Put implements quarantine.Store.
+func (s verdictStore) Put(ctx context.Context, key string, value []byte, at int64) error {
+	r := Record{Key: key, Value: value}
+	if at < 0 {
+		return s.f.store.Load().Put(ctx, s.f.Topics.Quarantine, r, readTimeout)
+	}
+	return s.f.store.Load().PutAt(ctx, s.f.Topics.Quarantine, r, at, readTimeout)
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -12,6 +12,7 @@
 	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/permit"
 	"github.com/merlinpost/merlinpost/internal/placement"
+	"github.com/merlinpost/merlinpost/internal/quarantine"
 	"github.com/merlinpost/merlinpost/internal/registry"
 )
 
@@ -19,8 +20,10 @@
 type outcome int
 
 const (
+	// unsent: the request was not sent, and is not to be.
+	unsent outcome = iota
 	// delivered: the caller has its whole answer.
-	delivered outcome = iota
+	delivered
 	// notRun: the server did not run the request and never will.
 	notRun
 	// mayHaveRun: nobody can tell, or it ran and failed.
@@ -53,12 +56,10 @@
 		if err := g.maySend(ctx, q, rel, try, ran, last); err != nil {
 			return err
 		}
-		choice, leave, err := g.choose(ctx, q, tried, rel)
-		if err != nil {
-			return firstOf(last, err)
+		result, err := g.sendInTurn(ctx, q, tried, ran > 0, rel)
+		if result == unsent {
+			return finalOf(last, err)
 		}
-		tried[choice.Candidate.Server.Start()] = true
-		result, err := g.sendTo(ctx, q, choice, leave, rel)
 		switch result {
 		case delivered:
 			return nil
@@ -75,6 +76,29 @@
 	}
 }
 
+// sendInTurn chooses a server and sends the request to it when it has its turn.
+func (g *Gateway) sendInTurn(ctx context.Context, q *request, tried map[string]bool, ran bool, rel *relay) (outcome, error) {
+	t, err := g.awaitTurn(ctx, q, ran)
+	if err != nil {
+		return unsent, err
+	}
+	if t.key != 0 {
+		defer func() { g.ledger.Done(q.id(), t.key, g.now()) }()
+	}
+	choice, leave, err := g.choose(ctx, q, g.apart(q, t, tried), t, rel)
+	if err != nil {
+		return unsent, err
+	}
+	if err := g.mayStill(q, t, ran); err != nil {
+		leave.End(permit.Stream{})
+		return unsent, err
+	}
+	start := choice.Candidate.Server.Start()
+	tried[start] = true
+	g.ledger.Place(q.id(), t.key, start, g.now())
+	return g.sendTo(ctx, q, choice, leave, rel)
+}
+
 // mayGoOn reports whether a send with this result allows another.
 func mayGoOn(q *request, rel *relay, result outcome) bool {
 	switch result {
@@ -109,6 +133,15 @@
 	return nil
 }
 
+// finalOf is the answer where the request is not sent again: what became of the last send, if there
+// was one, unless the request is quarantined, which tells when to come back.
+func finalOf(last, err error) error {
+	if fault.Is(err, fault.Quarantined) {
+		return err
+	}
+	return firstOf(last, err)
+}
+
 // firstOf returns what became of the last send, if there was one.
 func firstOf(err, other error) error {
 	if err != nil {
@@ -139,9 +172,9 @@
 }
 
 // choose picks the backend server for the next send and gets leave to send it.
-func (g *Gateway) choose(ctx context.Context, q *request, tried map[string]bool, rel *relay) (placement.Choice, peers.Leave, error) {
+func (g *Gateway) choose(ctx context.Context, q *request, tried map[string]bool, t turn, rel *relay) (placement.Choice, peers.Leave, error) {
 	if g.needsPermit(q) {
-		return g.acquire(ctx, q, tried, rel)
+		return g.acquire(ctx, q, tried, t, rel)
 	}
 	var c placement.Choice
 	if q.route.PrefixAffinity {
@@ -212,11 +245,11 @@
 	if err != nil {
 		s.Cause = err.Error()
 	}
-	if broke(ctx, result, err) {
-		check := g.checkEnd(server)
-		<-check.done
-		s.Ended = check.ended
-		q.id()
+	switch {
+	case broke(ctx, result, err):
+		s.Ended = g.brokeAt(q, server, quarantine.End{Server: server.Start(), Begun: sentAt, At: g.now()})
+	case result == delivered && resp.Status < http.StatusInternalServerError && g.ledger.Watching():
+		g.ledger.Completed(q.id(), g.now())
 	}
 	q.sends = append(q.sends, s)
 	return result, err
@@ -246,6 +279,8 @@
 	switch {
 	case status == http.StatusMisdirectedRequest:
 		b.Gone(g.now())
+		server := b.Server()
+		g.startEnded(server.Start())
 	case result == delivered && status < http.StatusInternalServerError:
 		b.Answered(g.now())
 	case ctx.Err() != nil:
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/quarantine"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
@@ -17,6 +18,72 @@
 type endChecks struct {
 	mu      sync.Mutex
 	byStart map[string]*endCheck
+	// unclear are runs whose connection broke while nothing told whether the server had ended,
+	// by its start.
+	unclear map[string][]brokenRun
+}
+
+// brokenRun is a run of a request whose connection broke.
+type brokenRun struct {
+	id  quarantine.ID
+	end quarantine.End
+}
+
+const (
+	// unclearFor is how long the list may take to tell of a server that has ended: three missed
+	// heartbeats of 1.2 s, and a start of some seconds.
+	unclearFor = 10 * time.Second
+	// maxUnclear bounds the runs that are kept for it, of one server and of all.
+	maxUnclear, maxUnclearServers = 64, 256
+)
+
+// brokeAt takes in that the connection broke on which a server ran the request, and reports
+// whether the server is known to have ended.
+func (g *Gateway) brokeAt(q *request, server registry.Server, end quarantine.End) bool {
+	check := g.checkEnd(server)
+	<-check.done
+	if check.ended {
+		g.endedWith(brokenRun{q.id(), end})
+	} else {
+		g.ends.keep(brokenRun{q.id(), end})
+	}
+	return check.ended
+}
+
+func (g *Gateway) endedWith(r brokenRun) {
+	g.ledger.SetServers(g.servers.Count())
+	g.ledger.Ended(r.id, r.end, g.now())
+}
+
+// keep keeps a run until it is clear whether its server has ended.
+func (c *endChecks) keep(r brokenRun) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for start, runs := range c.unclear {
+		if r.end.At.Sub(runs[len(runs)-1].end.At) > unclearFor {
+			delete(c.unclear, start)
+		}
+	}
+	runs := c.unclear[r.end.Server]
+	if len(runs) < maxUnclear && (runs != nil || len(c.unclear) < maxUnclearServers) {
+		c.unclear[r.end.Server] = append(runs, r)
+	}
+}
+
+// startEnded takes in that the list, or another server at the address, tells that a start of a
+// server has ended. The host of a server that went with it does not refuse connections.
+func (g *Gateway) startEnded(start string) {
+	now := g.now()
+	g.ledger.ServerEnded(start, now)
+	g.ends.mu.Lock()
+	runs := g.ends.unclear[start]
+	delete(g.ends.unclear, start)
+	g.ends.mu.Unlock()
+	for _, r := range runs {
+		if now.Sub(r.end.At) <= unclearFor {
+			g.ledger.Ended(r.id, r.end, now)
+		}
+	}
 }
 
 // endCheck is a check of one start of a server.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/merlinpost/merlinpost/internal/decisionlog"
 	"github.com/merlinpost/merlinpost/internal/exchange"
 	"github.com/merlinpost/merlinpost/internal/placement"
+	"github.com/merlinpost/merlinpost/internal/quarantine"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/retrybudget"
 	"github.com/merlinpost/merlinpost/internal/routing"
@@ -62,6 +63,8 @@
 
 	failureLines decisionlog.Limiter
 	ends         endChecks
+	ledger       *quarantine.Ledger
+	trials       Trials // nil: this gateway is alone
 
 	mu      sync.Mutex
 	budgets map[string]*retrybudget.Budget   // by service
@@ -77,9 +80,11 @@
 		}),
 		budgets: map[string]*retrybudget.Budget{},
 		answers: map[string]*placement.AnswerTime{},
-		ends:    endChecks{byStart: map[string]*endCheck{}},
+		ends:    endChecks{byStart: map[string]*endCheck{}, unclear: map[string][]brokenRun{}},
+		ledger:  quarantine.New(),
 	}
 	servers.OnRestart(g.pool.Forget)
+	servers.OnEnd(g.startEnded)
 	g.settings.Store(&set)
 	g.ending, g.endNow = context.WithCancel(context.Background())
 	return g
@@ -142,7 +147,7 @@
 
 // Ready reports whether callers should be sent here.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.table.Load() != nil && g.servers.Loaded()
+	return !g.stopping.Load() && g.table.Load() != nil && g.servers.Loaded() && (g.trials == nil || g.trials.Loaded())
 }
 
 func (g *Gateway) budget(service string) *retrybudget.Budget {
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -74,7 +74,7 @@
 // acquire asks for leave to send the request, at one group of engines after the
 // other, and waits for it. An error means that the request was not sent and that the
 // service has no room.
-func (g *Gateway) acquire(ctx context.Context, q *request, tried map[string]bool, rel *relay) (placement.Choice, peers.Leave, error) {
+func (g *Gateway) acquire(ctx context.Context, q *request, tried map[string]bool, t turn, rel *relay) (placement.Choice, peers.Leave, error) {
 	candidates := g.candidates(q.service, tried)
 	if !slices.ContainsFunc(candidates, reachable) {
 		return placement.Choice{}, peers.Leave{}, g.noServer(q)
@@ -85,6 +85,9 @@
 	}
 	groups := placement.GroupsFor(part, placement.Groups(len(candidates)))
 	asked := g.ask(q, rel)
+	// A strong suspect loses the precedence of broken streams, with which one that may be resumed
+	// ended a server after the other ahead of everybody's questions.
+	asked.Begun = asked.Begun && !t.apart
 	asked.Avoid = avoided(candidates)
 	var refused permit.Answer
 	for ask, group := 0, 0; ask < maxAsks && group < min(maxGroups, len(groups)); ask++ {
--- a/internal/peers/beats.go
+++ b/internal/peers/beats.go
@@ -17,6 +17,9 @@
 
 // heard takes in a heartbeat.
 func (p *Peers) heard(b beat, from netip.AddrPort, now time.Time) {
+	if b.New {
+		defer p.welcome(b.Host, from, now)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.members.beat(Member{b.Host, from, b.Capacity}, b.Leaving, now)
@@ -61,14 +64,22 @@
 // beat sends a heartbeat to all known members.
 func (p *Peers) beat(own []finding) {
 	p.mu.Lock()
-	b := beat{Host: p.members.self.Host, Capacity: p.members.self.Capacity, Leaving: p.leaving, Findings: own, Learnt: p.learnt}
+	b := beat{Host: p.members.self.Host, Capacity: p.members.self.Capacity, Leaving: p.leaving, Findings: own, Learnt: p.learnt,
+		New: time.Since(p.start) < newFor}
+	p.mu.Unlock()
+	p.sendAll(message{Beat: &b})
+}
+
+// sendAll sends a message to all known members.
+func (p *Peers) sendAll(m message) {
+	p.mu.Lock()
 	to := make([]netip.AddrPort, 0, len(p.members.known))
 	for _, member := range p.members.known {
 		to = append(to, member.Address)
 	}
 	p.mu.Unlock()
 	for _, address := range to {
-		p.send(message{Beat: &b}, address)
+		p.send(m, address)
 	}
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,6 +14,7 @@
 
 	"github.com/merlinpost/merlinpost/internal/datagram"
 	"github.com/merlinpost/merlinpost/internal/permit"
+	"github.com/merlinpost/merlinpost/internal/quarantine"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
@@ -32,13 +33,17 @@
 	Answer     *permit.Answer `msgpack:"v,omitempty"`
 	FirstToken *firstToken    `msgpack:"f,omitempty"`
 	End        *end           `msgpack:"e,omitempty"`
+	// Requests is what the sender knows of requests that may end servers.
+	Requests []quarantine.Told `msgpack:"q,omitempty"`
 }
 
 // beat is a heartbeat with what its sender has confirmed at the store.
 type beat struct {
 	Host string `msgpack:"h"`
 	Capacity
-	Leaving  bool      `msgpack:"l,omitempty"`
+	Leaving bool `msgpack:"l,omitempty"`
+	// New is set by a gateway that has just started and asks for what the others know of requests.
+	New      bool      `msgpack:"n,omitempty"`
 	Findings []finding `msgpack:"f,omitempty"`
 	// Learnt is what the sender has learnt of the engines for which it decides.
 	Learnt []learnt `msgpack:"e,omitempty"`
@@ -68,6 +73,8 @@
 type Local interface {
 	// Engines lists the members of a group.
 	Engines(permit.Group) []permit.Engine
+	// Quarantine is what it knows of requests that may end servers.
+	Quarantine() *quarantine.Ledger
 }
 
 // received is a datagram and its sender.
@@ -83,6 +90,8 @@
 	logger *slog.Logger
 	in     chan received
 	desk   *permit.Desk[netip.AddrPort] // of the goroutine in Run
+	ledger *quarantine.Ledger
+	start  time.Time
 
 	mu         sync.Mutex
 	members    *members
@@ -114,8 +123,9 @@
 
 func join(host string, socket *datagram.Socket[message], capacity Capacity, local Local, logger *slog.Logger) *Peers {
 	self := socket.Address()
-	p := &Peers{socket: socket, self: self, logger: logger, in: make(chan received, ring),
-		members: newMembers(Member{host, self, capacity}, time.Now()), waiting: map[string]chan permit.Answer{}}
+	now := time.Now()
+	p := &Peers{socket: socket, self: self, logger: logger, in: make(chan received, ring), ledger: local.Quarantine(), start: now,
+		members: newMembers(Member{host, self, capacity}, now), waiting: map[string]chan permit.Answer{}}
 	p.desk = permit.NewDesk[netip.AddrPort](local.Engines, p.told, permit.Policy{})
 	return p
 }
@@ -143,6 +153,7 @@
 			return
 		case r := <-p.in:
 			p.take(r, time.Now())
+		case <-p.ledger.Telling():
 		case <-timer.C:
 			next := idleTick
 			if p.desk.Waiting() > 0 {
@@ -155,6 +166,7 @@
 			p.answer(due.Answer, due.To)
 		}
 		p.beatIfDue(now)
+		p.tellRequests(now)
 		if now.Sub(learntLogged) >= learntLogEvery {
 			learntLogged = now
 			p.logLearnt()
@@ -204,6 +216,8 @@
 		p.desk.FirstToken(r.FirstToken.Group, r.FirstToken.ID, r.FirstToken.Took, now)
 	case r.End != nil:
 		p.desk.End(r.End.Group, r.End.ID, r.End.Stream, now)
+	case r.Requests != nil:
+		p.ledger.Hear(r.Requests, r.from.String(), now)
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -16,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/merlinpost/merlinpost/internal/permit"
+	"github.com/merlinpost/merlinpost/internal/quarantine"
 )
 
 func TestPeers(t *testing.T) {
@@ -35,6 +36,8 @@
 // local is a gateway that knows one engine in each group.
 type local struct{}
 
+func (local) Quarantine() *quarantine.Ledger { return quarantine.New() }
+
 func (local) Engines(permit.Group) []permit.Engine {
 	return []permit.Engine{{ID: "engine", Open: true}}
 }
--- /dev/null
+++ b/internal/quarantine/ledger.go
@@ -0,0 +1,373 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// keepEvidence is how long an end counts. A request that comes once in three minutes and
+	// ends a server each time is found.
+	keepEvidence = 10 * time.Minute
+	// maxEnds bounds the ends that are kept of one request; more than three count only where
+	// servers end all the time, and what is told of them fits in a datagram.
+	maxEnds = 12
+	// maxRequests bounds the requests of which something is kept, some 0.5 KB each. Each server that
+	// ends makes suspects of what ran on it, 20 requests where 650 engines run 13,000.
+	maxRequests = 4096
+	// maxExplained bounds the ends whose cause is known, and those of servers that are
+	// remembered for their rate.
+	maxExplained = 4096
+	// strongEnds is the number of ends from which a request is a strong suspect. One end is
+	// common: everything that ran on the server has it.
+	strongEnds = 2
+	// patience is for how long a suspect with one end waits for another run of the same
+	// request: longer than a fatal request was seen to need, 0.06 to 0.44 s with its time in the
+	// engine's queue, and short for a popular one that is innocent.
+	patience = time.Second
+	// runLost is how long the run of another gateway counts without a word of it.
+	runLost = 2500 * time.Millisecond
+	// settle is how long a strong suspect waits after it was told that it runs, so that of two
+	// gateways that begin at the same time one gives way: several times the way between them.
+	settle = 15 * time.Millisecond
+)
+
+// run is a run of a suspect in progress.
+type run struct {
+	key    uint64 // of the run, drawn by its gateway
+	server string // empty until one is chosen
+	since  time.Time
+	// settled runs have been told for long enough; they give way to none.
+	settled bool
+	heard   time.Time // of another gateway's run
+}
+
+// entry is what is kept of one request.
+type entry struct {
+	ends    []End
+	cleared time.Time // of the newest sign that it ends no servers
+	verdict *Verdict
+	own     map[uint64]*run
+	others  map[string][]run // by gateway
+	changed chan struct{}    // closed and replaced at each change
+
+	tells  int       // words about the newest change so far
+	nextAt time.Time // of the next one; zero for none
+}
+
+func (e *entry) suspect() bool { return len(e.ends) > 0 }
+
+// Ledger keeps what is known of requests that may end servers, here and at the other gateways.
+// It is empty on a calm day. It decides nothing about time: the caller's now is passed to each
+// method. It is safe for concurrent use.
+type Ledger struct {
+	watching atomic.Int64 // entries
+
+	mu      sync.Mutex
+	entries map[ID]*entry
+	// explained are ends of servers whose cause has a verdict, ended those of any, by start.
+	explained, ended map[string]time.Time
+	servers          int // that are up, as last said
+	events           []Event
+	news, telling    chan struct{} // have room for one each
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{entries: map[ID]*entry{}, explained: map[string]time.Time{}, ended: map[string]time.Time{},
+		news: make(chan struct{}, 1), telling: make(chan struct{}, 1)}
+}
+
+// Watching reports whether there is anything to compare requests with.
+func (l *Ledger) Watching() bool { return l.watching.Load() > 0 }
+
+// entry returns what is kept of a request, made when it is first asked for.
+func (l *Ledger) entry(id ID) *entry {
+	e := l.entries[id]
+	if e == nil {
+		if len(l.entries) >= maxRequests {
+			l.makeRoom()
+		}
+		e = &entry{own: map[uint64]*run{}, others: map[string][]run{}, changed: make(chan struct{})}
+		l.entries[id] = e
+		l.watching.Store(int64(len(l.entries)))
+	}
+	return e
+}
+
+// makeRoom drops the suspect with the fewest ends, of these the oldest; verdicts go last.
+func (l *Ledger) makeRoom() {
+	var (
+		least   ID
+		weakest *entry
+	)
+	for id, e := range l.entries {
+		if weakest == nil || weaker(e, weakest) {
+			least, weakest = id, e
+		}
+	}
+	l.note(Event{Kind: Dropped, ID: least, Ends: weakest.ends})
+	l.drop(least)
+}
+
+func weaker(a, b *entry) bool {
+	if (a.verdict == nil) != (b.verdict == nil) {
+		return a.verdict == nil
+	}
+	if len(a.ends) != len(b.ends) {
+		return len(a.ends) < len(b.ends)
+	}
+	return a.newest().Before(b.newest())
+}
+
+// newest is the time of the newest that is known.
+func (e *entry) newest() time.Time {
+	at := e.cleared
+	for _, end := range e.ends {
+		if end.At.After(at) {
+			at = end.At
+		}
+	}
+	if e.verdict != nil && e.verdict.Since.After(at) {
+		at = e.verdict.Since
+	}
+	return at
+}
+
+func (l *Ledger) drop(id ID) {
+	if e := l.entries[id]; e != nil {
+		close(e.changed)
+		e.changed = make(chan struct{}) // whoever still holds the entry may change it
+		delete(l.entries, id)
+		l.watching.Store(int64(len(l.entries)))
+	}
+}
+
+// change wakes those who wait for the request, and has the change told to the other gateways
+// where it is this one's to tell.
+func (l *Ledger) change(e *entry, tell bool, now time.Time) {
+	close(e.changed)
+	e.changed = make(chan struct{})
+	if tell {
+		e.tells, e.nextAt = 0, now
+		wake(l.telling)
+	}
+}
+
+// wake leaves word on a channel that has room for one.
+func wake(to chan<- struct{}) {
+	select {
+	case to <- struct{}{}:
+	default: // it is awake
+	}
+}
+
+// SetServers says how many servers are up.
+func (l *Ledger) SetServers(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.servers = n
+}
+
+// ServerEnded takes in that a server has ended, whatever it ran.
+func (l *Ledger) ServerEnded(start string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.remember(l.ended, start, now)
+}
+
+// remember keeps the first time at which a server was known to have ended.
+func (l *Ledger) remember(in map[string]time.Time, start string, at time.Time) {
+	if _, known := in[start]; !known && len(in) < maxExplained {
+		in[start] = at
+	}
+}
+
+// Ended takes in that a server has ended while it ran the request for this gateway.
+func (l *Ledger) Ended(id ID, end End, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entry(id)
+	if l.add(id, e, end, now) {
+		l.note(Event{Kind: Suspected, ID: id, Ends: slices.Clone(e.ends), Verdict: copied(e.verdict)})
+		l.judge(id, e, now)
+		l.change(e, true, now)
+	}
+	l.dropEmpty(id, e)
+}
+
+// add keeps an end; false where it says nothing new.
+func (l *Ledger) add(id ID, e *entry, end End, now time.Time) bool {
+	l.remember(l.ended, end.Server, end.At)
+	_, explained := l.explained[end.Server]
+	if e.verdict != nil {
+		// It explains the end to all others that ran there.
+		l.explain(id, end.Server, now)
+	}
+	known := slices.ContainsFunc(e.ends, func(other End) bool { return other.Server == end.Server })
+	if known || (explained && e.verdict == nil) || !end.At.After(e.cleared) || now.Sub(end.At) > keepEvidence || len(e.ends) >= maxEnds {
+		return false
+	}
+	e.ends = append(e.ends, end)
+	return true
+}
+
+// judge reaches a verdict where the ends give one.
+func (l *Ledger) judge(id ID, e *entry, now time.Time) {
+	if e.verdict != nil || !guilty(e.ends, func(at time.Time) float64 { return l.endRate(e, at) }) {
+		return
+	}
+	e.verdict = newVerdict(e.ends, now)
+	l.note(Event{Kind: Reached, ID: id, Ends: slices.Clone(e.ends), Verdict: copied(e.verdict)})
+	l.explainAll(id, e, now)
+	l.change(e, true, now)
+}
+
+// endRate is the rate at which a server ends of itself as far as was seen up to a moment: by
+// the ends of servers that did not run the request, and that no verdict explains.
+func (l *Ledger) endRate(e *entry, at time.Time) float64 {
+	others := 0
+	for start, ended := range l.ended {
+		_, explained := l.explained[start]
+		ran := slices.ContainsFunc(e.ends, func(end End) bool { return end.Server == start })
+		if !explained && !ran && ended.After(at.Add(-endsWindow)) && ended.Before(at.Add(endsWindow)) {
+			others++
+		}
+	}
+	return max(leastEndRate, float64(others)/endsWindow.Seconds()/float64(max(l.servers, 1)))
+}
+
+// explainAll has a verdict explain the ends to all others that ran there.
+func (l *Ledger) explainAll(id ID, e *entry, now time.Time) {
+	for _, end := range e.ends {
+		l.explain(id, end.Server, now)
+	}
+	for _, start := range e.verdict.Servers {
+		l.explain(id, start, now)
+	}
+}
+
+func (l *Ledger) explain(by ID, start string, now time.Time) {
+	l.remember(l.explained, start, now)
+	for id, e := range l.entries {
+		if id == by || e.verdict != nil {
+			continue
+		}
+		before := len(e.ends)
+		e.ends = slices.DeleteFunc(e.ends, func(end End) bool { return end.Server == start })
+		if len(e.ends) < before {
+			l.change(e, false, now)
+			l.dropEmpty(id, e)
+		}
+	}
+}
+
+// dropEmpty drops an entry of which nothing is left to know.
+func (l *Ledger) dropEmpty(id ID, e *entry) {
+	if !e.suspect() && e.verdict == nil && e.cleared.IsZero() && len(e.own) == 0 {
+		l.drop(id)
+	}
+}
+
+// Completed takes in that the request was answered by a server: what ended the servers before
+// was something else.
+func (l *Ledger) Completed(id ID, now time.Time) { l.clear(id, Answered, now) }
+
+// Lift ends the quarantine of a request on an operator's word; false if it has none.
+func (l *Ledger) Lift(id ID, now time.Time) bool { return l.clear(id, ByOperator, now) }
+
+func (l *Ledger) clear(id ID, why Cause, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[id]
+	if e == nil || (!e.suspect() && e.verdict == nil) {
+		return false
+	}
+	lifted := e.verdict != nil
+	if lifted {
+		l.note(Event{Kind: Lifted, ID: id, Cause: why, Ends: slices.Clone(e.ends), Verdict: copied(e.verdict)})
+	}
+	e.clear(now)
+	l.change(e, true, now)
+	return lifted
+}
+
+// clear forgets what came up to a time.
+func (e *entry) clear(at time.Time) {
+	if at.After(e.cleared) {
+		e.cleared = at
+	}
+	e.ends = slices.DeleteFunc(e.ends, func(end End) bool { return !end.At.After(e.cleared) })
+	if e.verdict != nil && !e.verdict.Since.After(e.cleared) {
+		e.verdict = nil
+	}
+}
+
+// keepCleared is how long it is kept that a request ends no servers, against late words of
+// others that it may.
+const keepCleared = 30 * time.Second
+
+// Sweep forgets what is too old. It is called every second or so.
+func (l *Ledger) Sweep(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, known := range []map[string]time.Time{l.explained, l.ended} {
+		for start, at := range known {
+			if now.Sub(at) > keepEvidence {
+				delete(known, start)
+			}
+		}
+	}
+	for id, e := range l.entries {
+		e.ends = slices.DeleteFunc(e.ends, func(end End) bool { return e.verdict == nil && now.Sub(end.At) > keepEvidence })
+		if e.verdict != nil && now.Sub(e.verdict.Until) > forgetAfter {
+			l.note(Event{Kind: Lifted, ID: id, Cause: Forgotten, Verdict: copied(e.verdict)})
+			e.verdict = nil
+			e.ends = nil
+		}
+		if now.Sub(e.cleared) > keepCleared {
+			e.cleared = time.Time{}
+		}
+		for gateway, runs := range e.others {
+			if runs = slices.DeleteFunc(runs, func(r run) bool { return now.Sub(r.heard) > runLost }); len(runs) == 0 {
+				delete(e.others, gateway)
+			} else {
+				e.others[gateway] = runs
+			}
+		}
+		l.dropEmpty(id, e)
+	}
+}
+
+// Quarantined is a request with a verdict, for operators.
+type Quarantined struct {
+	ID      ID
+	Verdict Verdict
+	Ends    []End
+}
+
+// Quarantine lists the requests with a verdict, the newest first, and counts the suspects.
+func (l *Ledger) Quarantine() (list []Quarantined, suspects int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, e := range l.entries {
+		switch {
+		case e.verdict != nil:
+			list = append(list, Quarantined{id, *e.verdict, slices.Clone(e.ends)})
+		case e.suspect():
+			suspects++
+		}
+	}
+	slices.SortFunc(list, func(a, b Quarantined) int { return b.Verdict.Since.Compare(a.Verdict.Since) })
+	return list, suspects
+}
+
+func copied(v *Verdict) *Verdict {
+	if v == nil {
+		return nil
+	}
+	c := *v
+	return &c
+}
--- /dev/null
+++ b/internal/quarantine/told.go
@@ -0,0 +1,242 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Told is what one gateway tells another of a request. Times are told as what has passed since,
+// in ms, as clocks of hosts differ. Merging is idempotent and in any order, so that words may be
+// lost, repeated and late.
+type Told struct {
+	ID      []byte     `msgpack:"i"`
+	Ends    []ToldEnd  `msgpack:"e,omitempty"`
+	Cleared *int64     `msgpack:"c,omitempty"` // nil: nothing says that it ends no servers
+	Verdict *ToldTerms `msgpack:"v,omitempty"`
+	// Runs are all runs of the request at the gateway that tells.
+	Runs []ToldRun `msgpack:"r,omitempty"`
+}
+
+// ToldEnd is an End.
+type ToldEnd struct {
+	Server string `msgpack:"s"`
+	Begun  int64  `msgpack:"b"`
+	At     int64  `msgpack:"a"`
+}
+
+// ToldTerms are those of a Verdict. Its servers are those of the ends, or told before.
+type ToldTerms struct {
+	Since  int64 `msgpack:"s"`
+	Left   int64 `msgpack:"l"`
+	Trials int   `msgpack:"t,omitempty"`
+}
+
+// ToldRun is a run in progress.
+type ToldRun struct {
+	Key     uint64 `msgpack:"k"`
+	Server  string `msgpack:"s,omitempty"`
+	Since   int64  `msgpack:"b"`
+	Settled bool   `msgpack:"d,omitempty"`
+}
+
+// repeats are the pauses after which a change is told again, in case a datagram was lost: of
+// 1 in 100 all four are lost once in 100 million.
+var repeats = []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, time.Second}
+
+const (
+	// repeatRun is how often a run that goes on is told again.
+	repeatRun = time.Second
+	// maxTold bounds what is told in one batch. A change waits for the next one then.
+	maxTold = 64
+	// maxToldToNew bounds what a gateway is told that has just started: 100 KB.
+	maxToldToNew = 1000
+)
+
+// Due returns what is to be told to the other gateways now, the strongest suspects first.
+func (l *Ledger) Due(now time.Time) []Told {
+	if !l.Watching() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var due []ID
+	for id, e := range l.entries {
+		if !e.nextAt.IsZero() && !now.Before(e.nextAt) {
+			due = append(due, id)
+		}
+	}
+	slices.SortFunc(due, func(a, b ID) int { return l.strongerFirst(a, b) })
+	var out []Told
+	for _, id := range due[:min(len(due), maxTold)] {
+		e := l.entries[id]
+		out = append(out, e.told(id, now))
+		e.schedule(now)
+	}
+	return out
+}
+
+// strongerFirst compares what is kept of two requests.
+func (l *Ledger) strongerFirst(a, b ID) int {
+	if weaker(l.entries[a], l.entries[b]) {
+		return 1
+	}
+	return -1
+}
+
+// schedule sets when the entry is told next.
+func (e *entry) schedule(now time.Time) {
+	e.nextAt = time.Time{}
+	if e.tells < len(repeats) {
+		e.nextAt = now.Add(repeats[e.tells])
+		e.tells++
+	} else if len(e.own) > 0 {
+		e.nextAt = now.Add(repeatRun)
+	}
+}
+
+// All returns what a gateway is to be told that has just started, the strongest first.
+func (l *Ledger) All(now time.Time) []Told {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ids := make([]ID, 0, len(l.entries))
+	for id := range l.entries {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b ID) int { return l.strongerFirst(a, b) })
+	var out []Told
+	for _, id := range ids[:min(len(ids), maxToldToNew)] {
+		out = append(out, l.entries[id].told(id, now))
+	}
+	return out
+}
+
+func (e *entry) told(id ID, now time.Time) Told {
+	t := Told{ID: id[:]}
+	ago := func(at time.Time) int64 { return now.Sub(at).Milliseconds() }
+	for _, end := range e.ends {
+		t.Ends = append(t.Ends, ToldEnd{end.Server, ago(end.Begun), ago(end.At)})
+	}
+	if !e.cleared.IsZero() {
+		cleared := ago(e.cleared)
+		t.Cleared = &cleared
+	}
+	if e.verdict != nil {
+		t.Verdict = &ToldTerms{ago(e.verdict.Since), -ago(e.verdict.Until), e.verdict.Trials}
+	}
+	for _, r := range e.own {
+		t.Runs = append(t.Runs, ToldRun{r.key, r.server, ago(r.since), r.settled})
+	}
+	return t
+}
+
+// Hear takes in what another gateway has told.
+func (l *Ledger) Hear(told []Told, from string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range told {
+		var id ID
+		if len(t.ID) == len(id) {
+			copy(id[:], t.ID)
+			l.hear(id, t, from, now)
+		}
+	}
+}
+
+func (l *Ledger) hear(id ID, t Told, from string, now time.Time) {
+	at := func(ago int64) time.Time { return now.Add(-time.Duration(ago) * time.Millisecond) }
+	e := l.entry(id)
+	if t.Cleared != nil {
+		l.heardCleared(id, e, at(*t.Cleared))
+	}
+	if t.Verdict != nil {
+		l.adopt(id, e, Verdict{Since: at(t.Verdict.Since), Until: at(-t.Verdict.Left), Trials: t.Verdict.Trials, Servers: e.serversWith(t.Ends)})
+	}
+	for _, end := range t.Ends {
+		l.add(id, e, End{Server: end.Server, Begun: at(end.Begun), At: at(end.At)}, now)
+	}
+	delete(e.others, from)
+	for _, r := range t.Runs {
+		e.others[from] = append(e.others[from], run{key: r.Key, server: r.Server, since: at(r.Since), settled: r.Settled, heard: now})
+	}
+	if e.verdict != nil {
+		l.explainAll(id, e, now)
+	} else {
+		l.judge(id, e, now)
+	}
+	l.change(e, false, now)
+	if e.verdict == nil && len(e.others) == 0 {
+		l.dropEmpty(id, e)
+	}
+}
+
+// heardCleared takes in that another gateway knows the request to end no servers.
+func (l *Ledger) heardCleared(id ID, e *entry, at time.Time) {
+	had := copied(e.verdict)
+	e.clear(at)
+	if had != nil && e.verdict == nil {
+		l.note(Event{Kind: Lifted, ID: id, Cause: Elsewhere, Verdict: had})
+	}
+}
+
+// adopt takes in a verdict of another gateway, or of the store.
+func (l *Ledger) adopt(id ID, e *entry, v Verdict) {
+	if !v.Since.After(e.cleared) || !v.replaces(e.verdict) {
+		return
+	}
+	e.verdict = &v
+	l.note(Event{Kind: Learnt, ID: id, Ends: slices.Clone(e.ends), Verdict: copied(&v)})
+}
+
+// serversWith returns the servers of which the entry knows, and those of further ends.
+func (e *entry) serversWith(told []ToldEnd) []string {
+	out := servers(e.ends)
+	if e.verdict != nil {
+		out = slices.Clone(e.verdict.Servers)
+	}
+	for _, end := range told {
+		if !slices.Contains(out, end.Server) {
+			out = append(out, end.Server)
+		}
+	}
+	return out
+}
+
+// Adopt takes in a verdict that was kept in the store.
+func (l *Ledger) Adopt(id ID, v Verdict, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entry(id)
+	l.adopt(id, e, v)
+	if e.verdict != nil {
+		l.explainAll(id, e, now)
+	}
+	l.change(e, false, now)
+	l.dropEmpty(id, e)
+}
+
+// Standing returns the verdict on a request, nil for none.
+func (l *Ledger) Standing(id ID) *Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.entries[id]; e != nil {
+		return copied(e.verdict)
+	}
+	return nil
+}
+
+// Sizes of the parts of a Told in msgpack, in bytes, rounded up; strings come on top.
+const (
+	toldHead, toldEndHead, toldRunHead = 60, 26, 30
+)
+
+// Size is about the size of what is told, in bytes, and not below it.
+func (t Told) Size() int {
+	n := toldHead
+	for _, end := range t.Ends {
+		n += toldEndHead + len(end.Server)
+	}
+	for _, r := range t.Runs {
+		n += toldRunHead + len(r.Server)
+	}
+	return n
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -62,16 +62,23 @@
 	expiries map[string]time.Time
 	// restarted is called with the address of a server that has started again.
 	restarted func(address string)
+	// ended is called with the start of a server that is gone without having drained.
+	ended func(start string)
 }
 
 // OnRestart has f called with the old address of each server that has started again. It
 // is called before the registry is in use.
 func (r *Registry) OnRestart(f func(address string)) { r.restarted = f }
 
+// OnEnd has f called with each start of a server that is no longer listed, or that another
+// start has followed, and that did not drain. It is called before the registry is in use; f does
+// not call the registry.
+func (r *Registry) OnEnd(f func(start string)) { r.ended = f }
+
 // New returns an empty registry.
 func New() *Registry {
 	return &Registry{backends: map[string]*Backend{}, ready: map[string][]*Backend{}, expiries: map[string]time.Time{},
-		restarted: func(string) {}}
+		restarted: func(string) {}, ended: func(string) {}}
 }
 
 // Apply takes in changes in the order in which they were written. Removals are
@@ -89,6 +96,9 @@
 			r.expiries[c.ID] = grace
 			continue
 		}
+		if b := r.backends[c.ID]; b != nil && !c.Unusable {
+			r.gone(b)
+		}
 		dropped = r.drop(c.ID, dropped)
 	}
 	dropped = r.expire(now, dropped)
@@ -124,6 +134,7 @@
 		// Requests in progress keep the state of the start that they were sent to: what
 		// still comes of them counts for nothing here.
 		r.restarted(b.server().Address)
+		r.gone(b)
 		b = nil
 	}
 	if b == nil {
@@ -133,6 +144,13 @@
 	b.entry.Store(&s)
 }
 
+// gone tells of a server that has ended unless it drained.
+func (r *Registry) gone(b *Backend) {
+	if s := b.server(); !s.Draining {
+		r.ended(s.Start())
+	}
+}
+
 func (r *Registry) drop(id string, dropped []string) []string {
 	delete(r.expiries, id)
 	if r.backends[id] == nil {
@@ -145,6 +163,9 @@
 func (r *Registry) expire(now time.Time, dropped []string) []string {
 	for id, at := range r.expiries {
 		if !now.Before(at) {
+			if b := r.backends[id]; b != nil {
+				r.gone(b)
+			}
 			dropped = r.drop(id, dropped)
 		}
 	}
@@ -172,6 +193,13 @@
 	return r.ready[service]
 }
 
+// Count returns the number of backend servers that are listed.
+func (r *Registry) Count() int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return len(r.backends)
+}
+
 // Loaded reports whether a whole list has been taken in.
 func (r *Registry) Loaded() bool {
 	r.mu.RLock()
--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -66,7 +66,9 @@
 	chunked  bool // replies do not state their length
 	delay    time.Duration
 	link     sync.Mutex // held while a piece of a reply is on its way
-	perPiece time.Duration
+	// appending is held from the check of an append's condition to its end.
+	appending sync.Mutex
+	perPiece  time.Duration
 }
 
 // pieceBytes is how much of a reply crosses a slow link at once.
@@ -282,6 +284,12 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
+	s.appending.Lock()
+	defer s.appending.Unlock()
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(s.end(name), 10) {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
 	for len(body) > 0 {
 		if len(body) < 5 {
 			w.WriteHeader(http.StatusBadRequest)
@@ -303,6 +311,14 @@
 	_, _ = io.WriteString(w, `{"offset":0,"end_offset":1}`)
 }
 
+// end is the offset of a topic's next record.
+func (s *Store) end(name string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	return t.first + int64(len(t.records))
+}
+
 // maxBytes is how much a read returns at most.
 func maxBytes(query url.Values) int {
 	kb, err := strconv.Atoi(query.Get("max_kb"))
