--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -46,7 +46,7 @@
 // Pool keeps idle connections to backend servers. It is safe for concurrent
 // use.
 type Pool struct {
-	dialer net.Dialer
+	dial   Dial
 	now    func() time.Time
 	opened func()
 
@@ -54,10 +54,12 @@
 	idle map[string][]*conn // by address, oldest first
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewPool returns an empty pool. opened is called for each new connection.
 func NewPool(now func() time.Time, opened func()) *Pool {
-	return &Pool{now: now, opened: opened, idle: map[string][]*conn{}, dialer: net.Dialer{
-		Timeout: connectTimeout,
+	dialer := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle,
 			Interval: keepAliveEvery, Count: keepAliveProbes},
 		Control: func(_, _ string, raw syscall.RawConn) error {
@@ -69,7 +71,18 @@
 			}
 			return err
 		},
-	}}
+	}
+	return NewPoolOver(dialer.DialContext, now, opened)
+}
+
+// NewPoolOver is NewPool over another network.
+func NewPoolOver(dial Dial, now func() time.Time, opened func()) *Pool {
+	bounded := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+	return &Pool{dial: bounded, now: now, opened: opened, idle: map[string][]*conn{}}
 }
 
 // get returns an idle connection that is still sound, or a new one.
@@ -85,7 +98,7 @@
 		c.close()
 	}
 	p.opened()
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/exchange/probe.go
+++ b/internal/exchange/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
 	"time"
 )
@@ -18,7 +17,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	p.opened()
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	c, err := p.dial(ctx, "tcp", address)
 	if err == nil {
 		_ = c.Close() // nothing was sent
 		return false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,13 @@
 	return g
 }
 
+// UseNetwork has the gateway reach backend servers over another network than the host's own. It
+// is called before the gateway is in use.
+func (g *Gateway) UseNetwork(dial exchange.Dial) {
+	g.pool = exchange.NewPoolOver(dial, time.Now, func() {})
+	g.servers.OnRestart(g.pool.Forget)
+}
+
 // SetSettings puts new settings in force. The addresses are those of the start:
 // a process that listens elsewhere is another process.
 func (g *Gateway) SetSettings(set Settings) {
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -5,11 +5,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -224,7 +224,7 @@
 }
 
 // errRefused is what a port without a listener answers.
-var errRefused = errors.New("connection refused")
+var errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 
 // DialContext opens a connection to an IP:PORT. Over a path that is cut it waits until ctx
 // ends.
@@ -246,6 +246,11 @@
 			return nil, ctx.Err()
 		}
 	}
+	select {
+	case <-l.closed:
+		return nil, errRefused
+	default:
+	}
 	near, far := net.Pipe()
 	shared := &ending{closed: make(chan struct{})}
 	here, there := &conn{Conn: near, ending: shared, from: h, to: l.host}, &conn{Conn: far, ending: shared, from: l.host, to: h}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -95,9 +95,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return StartOn(id, l), nil
+}
+
+// StartOn is Start on a listener, which the worker owns.
+func StartOn(id string, l net.Listener) *Worker {
 	w := &Worker{ID: id, Born: time.Now().UnixMilli(), listener: l, behaviour: Behaviour{BreakAfter: -1}, conns: map[net.Conn]bool{}}
 	go w.accept()
-	return w, nil
+	return w
 }
 
 // Address returns the IP:PORT of the worker.
