--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -6,8 +6,6 @@
 	"net"
 	"net/http"
 	"time"
-
-	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
 const (
@@ -51,7 +49,7 @@
 		if err != nil {
 			return err
 		}
-		go serve(&http.Server{Handler: telemetry.Handler(), ErrorLog: discardLog()}, page)
+		go serve(&http.Server{Handler: g.operations(), ErrorLog: discardLog()}, page)
 	}
 	go g.sweep(ctx)
 	g.logger.Info("gateway started", "host", g.settings.Load().Host, "callers", g.settings.Load().Callers)
--- a/internal/quarantine/told.go
+++ b/internal/quarantine/told.go
@@ -67,10 +67,18 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.dueAt.IsZero() || now.Before(l.dueAt) {
+		return nil
+	}
+	l.dueAt = time.Time{}
 	l.judgeDue(now)
 	var due []ID
 	for id, e := range l.entries {
-		if !e.nextAt.IsZero() && !now.Before(e.nextAt) {
+		switch {
+		case e.nextAt.IsZero():
+		case now.Before(e.nextAt):
+			l.dueBy(e.nextAt)
+		default:
 			due = append(due, id)
 		}
 	}
@@ -79,7 +87,12 @@
 	for _, id := range due[:min(len(due), maxTold)] {
 		e := l.entries[id]
 		out = append(out, l.told(id, e, now))
-		e.schedule(now)
+		if e.schedule(now); !e.nextAt.IsZero() {
+			l.dueBy(e.nextAt)
+		}
+	}
+	if len(due) > maxTold {
+		l.dueBy(now)
 	}
 	return out
 }
@@ -121,7 +134,7 @@
 
 func (l *Ledger) told(id ID, e *entry, now time.Time) Told {
 	t := Told{ID: id[:], Seen: l.seen(now).Milliseconds()}
-	if e.suspect() {
+	if len(e.ends) >= strongEnds {
 		others := l.othersEnded(now, recent, l.ownOf(e))
 		t.Others = others[:min(len(others), maxOthers)]
 	}
