--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -177,6 +177,8 @@
 		{"end", 75, message{End: &end{in, id, permit.Stream{Events: 64, Took: 5 * time.Second, Longest: 150 * time.Millisecond}}}},
 		{"heartbeat", 45, message{Beat: &beat{Host: "edge-barrage-hall-1", Capacity: Capacity{0.304, 1000}}}},
 		{"heartbeat with figures", 230, message{Beat: &beat{Host: "edge-barrage-hall-1", Capacity: Capacity{0.304, 1000}, Learnt: []learnt{figures, figures, figures}}}},
+		{"suspect", 120, message{Requests: suspects(1, 1)}},
+		{"strong suspect", 240, message{Requests: suspects(1, 3)}},
 	} {
 		data, err := msgpack.Marshal(m.message)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -185,6 +187,33 @@
 	}
 }
 
+// suspects are so many requests that each ended so many servers, as they are told.
+func suspects(requests, ends int) []quarantine.Told {
+	l, now := quarantine.New(), time.Unix(1000, 0)
+	for i := range requests {
+		id := quarantine.Identify("team", "POST", "a.example", fmt.Sprint("/", i), nil)
+		for j := range ends {
+			at := now.Add(time.Duration(j) * time.Second)
+			l.Ended(id, quarantine.End{Server: fmt.Sprintf("i-7f3a91c2%02d@17650000%05d", j, i), Begun: at.Add(-time.Second), At: at}, at)
+		}
+	}
+	return l.All(now.Add(time.Minute))
+}
+
+func TestWhatIsToldOfRequestsFitsIntoDatagrams(t *testing.T) {
+	g := NewWithT(t)
+	told := 0
+	for _, ends := range []int{1, 3, 12} {
+		for _, batch := range batches(suspects(100, ends)) {
+			data, err := msgpack.Marshal(message{Requests: batch})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(len(data)).To(BeNumerically("<=", 1200))
+			told += len(batch)
+		}
+	}
+	g.Expect(told).To(Equal(300))
+}
+
 func TestAFindingOfOthersConfirmsOnlyTheSameState(t *testing.T) {
 	g := NewWithT(t)
 	f, now := findings{}, time.Unix(100, 0)
