Read and log what backend servers say of themselves in their answers

Sight for the stated rate limit that is not kept: decision lines could not tell whether a server had said anything, so that none of the hypotheses could be told from the others. Nothing acts on it yet. Words are taken only from the server that was asked, for this request; those that can't be read are left with one bounded line.

--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -89,7 +89,8 @@
 	if rel.events > 0 {
 		g.answerTime(q.route.Name).Add(g.now().Sub(q.start)-rel.first, q.call.Prompt.Output)
 	}
-	if rel.status < http.StatusBadRequest && len(q.sends) == 1 && !decisionlog.Sampled(q.call.ID, g.settings.Load().LogOneIn) {
+	plain := rel.status < http.StatusBadRequest && len(q.sends) == 1 && !decisionlog.Sampled(q.call.ID, g.settings.Load().LogOneIn)
+	if plain && !(q.spoke() && g.failureLines.Allow("notice", g.now())) {
 		return
 	}
 	g.logger.Info("request answered", append(g.fields(q),
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -9,6 +9,7 @@
 
 	"github.com/merlinpost/merlinpost/internal/exchange"
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/permit"
 	"github.com/merlinpost/merlinpost/internal/placement"
@@ -226,11 +227,13 @@
 	defer cancel()
 	resp, err := g.pool.Do(ctx, server.Address, g.outgoing(q, server, choice.FetchFrom, rel))
 	var result outcome
+	var said *notice.Said
 	if err != nil {
 		result, err = g.failedExchange(ctx, b, err)
 	} else {
 		defer resp.Close()
-		answer := g.dialect.Answer(resp.Header)
+		answer := g.dialect.Answer(resp.Status, q.call.ID, resp.Header)
+		said = g.heard(server, answer.Said) // with the head: a stream may last for long
 		if answer.Load != nil {
 			answer.Load.At = g.now()
 			b.Report(*answer.Load)
@@ -241,7 +244,7 @@
 	seen.Failed = ctx.Err() == nil && (result != delivered || resp.Status >= http.StatusInternalServerError)
 	s := send{Server: server.ID, Reason: choice.Reason, Fetch: choice.FetchFrom, Result: outcomeNames[result],
 		Running: choice.Candidate.View.Running, Unread: choice.Candidate.View.Unread,
-		Expect: choice.Read, First: seen.First, Longest: seen.Longest, At: sentAt.Sub(q.start), Took: g.now().Sub(sentAt)}
+		Expect: choice.Read, First: seen.First, Longest: seen.Longest, At: sentAt.Sub(q.start), Took: g.now().Sub(sentAt), Said: said}
 	if err != nil {
 		s.Cause = err.Error()
 	}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/placement"
 	"github.com/merlinpost/merlinpost/internal/registry"
 )
@@ -16,8 +17,8 @@
 	// Forward removes the headers that only the system may set, and the key, and
 	// sets those of f.
 	Forward(h http.Header, f Forwarding)
-	// Answer reads what a backend server says of its answer.
-	Answer(h http.Header) Answer
+	// Answer reads what a backend server says in the head of its answer to the request with this ID.
+	Answer(status int, id string, h http.Header) Answer
 	// EchoHeader is the header in which backend servers repeat the request's ID.
 	EchoHeader() string
 }
@@ -54,4 +55,6 @@
 	Sealed bool
 	// Load is nil when the server did not tell it.
 	Load *registry.Load
+	// Said is what the server says of itself; nil where the answer is not its word.
+	Said *notice.Said
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/quarantine"
 	"github.com/merlinpost/merlinpost/internal/routing"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
@@ -68,6 +69,8 @@
 	Took    time.Duration `json:"took"`              // until the answer's head or the failure
 	// Ended is whether the server has ended, where its connection broke.
 	Ended bool `json:"ended,omitempty"`
+	// Said is what the server said of itself, nil for nothing.
+	Said *notice.Said `json:"said,omitempty"`
 }
 
 // sharedPart returns the ID of the prompt part that placement goes by.
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -38,6 +38,8 @@
 type Behaviour struct {
 	// Refuse answers 503 without having run the request.
 	Refuse bool
+	// RetryAfter is when a refused caller may come back, in seconds; empty says nothing.
+	RetryAfter string
 	// Status is the status of the answer; 0 is 200.
 	Status int
 	// Events is the number of events of a stream; 0 gives a plain answer.
@@ -77,6 +79,7 @@
 	opened    int
 	arrivals  []Arrival
 	fatal     fatality
+	notices   string // header lines with what it says of itself in all answers
 }
 
 // fatality is a request that ends the worker which begins it.
@@ -145,6 +148,24 @@
 	w.mu.Unlock()
 }
 
+// Say has the worker say these header lines of itself in all its answers from now on, such as
+// "Server-Limit: 1".
+func (w *Worker) Say(lines ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.notices = ""
+	for _, line := range lines {
+		w.notices += line + "\r\n"
+	}
+}
+
+// says returns what the worker says of itself.
+func (w *Worker) says() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.notices
+}
+
 // Runs returns what has run so far.
 func (w *Worker) Runs() []Run {
 	w.mu.Lock()
@@ -245,7 +266,11 @@
 		return false
 	}
 	if b.Refuse {
-		return w.plain(c, id, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\n", "")
+		headers := "X-Not-Executed: 1\r\n"
+		if b.RetryAfter != "" {
+			headers += "Retry-After: " + b.RetryAfter + "\r\n"
+		}
+		return w.plain(c, id, http.StatusServiceUnavailable, headers, "")
 	}
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // none is 0
 	w.mu.Lock()
@@ -277,7 +302,7 @@
 		status = http.StatusOK
 	}
 	if b.Unframed {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d OK\r\nX-Attempt-Id: %s\r\n%sConnection: close\r\n\r\n%s", status, id, seal, Answer(id))
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d OK\r\nX-Attempt-Id: %s\r\n%s%sConnection: close\r\n\r\n%s", status, id, seal, w.says(), Answer(id))
 		return false
 	}
 	return w.plain(c, id, status, seal, Answer(id))
@@ -314,8 +339,8 @@
 }
 
 func (w *Worker) plain(c net.Conn, id string, status int, headers, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), id, headers, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\n%s%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), id, headers, w.says(), len(body), body)
 	return err == nil
 }
 
@@ -328,8 +353,8 @@
 }
 
 func (w *Worker) streamHead(c net.Conn, id string) error {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		id, w.seal(id))
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		id, w.seal(id), w.says())
 	return err
 }
 
