--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -345,9 +345,10 @@
 
 // fleetAnswer is what a caller of the fleet got.
 type fleetAnswer struct {
-	status int
-	body   string
-	err    error
+	status     int
+	body       string
+	retryAfter string
+	err        error
 }
 
 // ask sends a request to a gateway and reads the answer whole.
@@ -380,7 +381,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }() // the body has been read
 	text, err := io.ReadAll(resp.Body)
-	return fleetAnswer{status: resp.StatusCode, body: string(text), err: err}
+	return fleetAnswer{status: resp.StatusCode, body: string(text), retryAfter: resp.Header.Get("Retry-After"), err: err}
 }
 
 // want is the right body for a request.
--- /dev/null
+++ b/e2e/notices_test.go
@@ -0,0 +1,285 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/standin/worker"
+)
+
+const (
+	// askEvery is the pause between two requests, at gateways drawn at random.
+	askEvery = 20 * time.Millisecond
+	// limitWindow is the span in which arrivals are counted.
+	limitWindow = 4 * time.Second
+	// Aims: in any limitWindow at most mostOfLimit times what the limit allows and limitSpare more;
+	// where all servers are limited, at least leastOfLimit of what they allow is used; where others
+	// have room, callers notice nothing.
+	mostOfLimit, limitSpare = 1.5, 5
+	leastOfLimit            = 0.7
+	leastUnnoticed          = 0.99
+	// longestRefusal is half of the time that callers wait.
+	longestRefusal = 2500 * time.Millisecond
+	// knownWithin is the time within which a limit that is taken back is known.
+	knownWithin = 3 * time.Second
+)
+
+// speakers is a fleet of which servers of one service say something of themselves.
+type speakers struct {
+	*fleet
+	t       *testing.T
+	route   string
+	rnd     *rand.Rand
+	servers []*worker.Worker // of the route's service
+	asked   sync.WaitGroup
+
+	mu      sync.Mutex
+	answers []callerAnswer
+}
+
+// callerAnswer is what a caller got, and when it had asked.
+type callerAnswer struct {
+	fleetAnswer
+	id   string
+	at   time.Time
+	took time.Duration
+}
+
+func startSpeakers(t *testing.T, route string, servers int, seed uint64) *speakers {
+	t.Helper()
+	size := fleetSize{gateways: 4, llms: 1, apps: 1}
+	if servedRoutes[route] == llmService {
+		size.llms = servers
+	} else {
+		size.apps = servers
+	}
+	f, err := newFleet(t.TempDir(), size)
+	if f != nil {
+		t.Cleanup(f.close)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &speakers{fleet: f, t: t, route: route, rnd: rand.New(rand.NewPCG(seed, 1))}
+	for _, w := range f.workers {
+		if serviceOf(w) == servedRoutes[route] {
+			s.servers = append(s.servers, w)
+		}
+	}
+	t.Cleanup(s.asked.Wait)
+	return s
+}
+
+// askFor sends requests for a while, beside what else happens.
+func (s *speakers) askFor(d time.Duration) {
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		s.askOne(s.gateways[s.rnd.IntN(len(s.gateways))])
+		time.Sleep(askEvery)
+	}
+}
+
+func (s *speakers) askOne(g *gatewayProc) {
+	id := fmt.Sprintf("%s-%d", s.route, s.rnd.Uint64())
+	at := time.Now()
+	s.asked.Go(func() {
+		a := s.ask(context.Background(), g, s.route, id)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.answers = append(s.answers, callerAnswer{a, id, at, time.Since(at)})
+	})
+}
+
+// busiest returns the server that has got most requests.
+func (s *speakers) busiest() *worker.Worker {
+	return slices.MaxFunc(s.servers, func(a, b *worker.Worker) int { return a.Asked() - b.Asked() })
+}
+
+// worst returns the most arrivals at a server in any limitWindow that begins after a time.
+func worst(w *worker.Worker, from time.Time) int {
+	var at []time.Time
+	for _, a := range w.Arrivals() {
+		if a.At.After(from) {
+			at = append(at, a.At)
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	most, first := 0, 0
+	for i := range at {
+		for at[i].Sub(at[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// allowed is how many requests a limit allows in limitWindow.
+func allowed(limit float64) int { return int(mostOfLimit*limit*limitWindow.Seconds()) + limitSpare }
+
+// checkLimit checks that a server has got no more than its limit allows since it has been known.
+func (s *speakers) checkLimit(w *worker.Worker, limit float64, stated time.Time) {
+	s.t.Helper()
+	most := worst(w, stated.Add(contact))
+	s.t.Logf("%s: %s stated %v a second and got %d in its worst 4 s, allowed %d", s.route, w.ID, limit, most, allowed(limit))
+	if most > allowed(limit) {
+		s.t.Errorf("%s: %s got %d requests in 4 s, allowed %d", s.route, w.ID, most, allowed(limit))
+	}
+}
+
+// checkServed checks that callers noticed nothing; those whose gateway was killed don't count.
+func (s *speakers) checkServed() {
+	s.t.Helper()
+	s.asked.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	served, asked := 0, 0
+	for _, a := range s.answers {
+		if a.err != nil {
+			continue
+		}
+		asked++
+		if a.status == 200 && a.body == want(s.route, a.id) {
+			served++
+		} else {
+			s.t.Logf("%s: %d after %s: %s", a.id, a.status, a.took, a.body)
+		}
+	}
+	if share := float64(served) / float64(max(1, asked)); share < leastUnnoticed {
+		s.t.Errorf("%s: %d of %d requests served", s.route, served, asked)
+	}
+}
+
+// checkRefusals checks that each request was served, or refused at once with when to come back, true
+// about not having run.
+func (s *speakers) checkRefusals() {
+	s.t.Helper()
+	s.asked.Wait()
+	ran := map[string]bool{}
+	for _, w := range s.servers {
+		for _, r := range w.Runs() {
+			ran[r.ID] = true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	refused := 0
+	for _, a := range s.answers {
+		if a.err != nil || a.status == 200 {
+			continue
+		}
+		refused++
+		back, err := strconv.ParseFloat(a.retryAfter, 64)
+		switch {
+		case a.status != 429 && a.status != 503:
+			s.t.Errorf("%s: %d %s", a.id, a.status, a.body)
+		case err != nil || back <= 0:
+			s.t.Errorf("%s was refused without when to come back: %q", a.id, a.retryAfter)
+		case a.took > longestRefusal:
+			s.t.Errorf("%s was refused after %s", a.id, a.took)
+		case ran[a.id]:
+			s.t.Errorf("%s was refused and has run", a.id)
+		}
+	}
+	s.t.Logf("%s: %d of %d refused", s.route, refused, len(s.answers))
+}
+
+// What the operators saw: a backend server that had stated in its answers that it takes one request a
+// second from all hosts together went on getting three to ten a second; callers noticed nothing.
+func TestAStatedRateLimitIsKept(t *testing.T) {
+	play := func(name, route string, seed uint64, meanwhile func(s *speakers)) {
+		t.Run(name+"/"+route, func(t *testing.T) {
+			t.Parallel()
+			s := startSpeakers(t, route, 6, seed)
+			s.askFor(time.Second)
+			w := s.busiest()
+			w.Say("Server-Limit: 1")
+			stated := time.Now()
+			s.askFor(contact)
+			meanwhile(s)
+			s.checkLimit(w, 1, stated)
+			s.checkServed()
+		})
+	}
+	for route := range servedRoutes {
+		play("calm", route, 1, func(s *speakers) { s.askFor(limitWindow + 2*time.Second) })
+	}
+	for _, route := range []string{"list", "advice"} {
+		play("restarts", route, 2, (*speakers).restartAll)
+	}
+}
+
+// restartAll kills and starts one gateway after the other while requests are sent.
+func (s *speakers) restartAll() {
+	for _, g := range s.gateways {
+		s.kill(g)
+		if err := s.start(g); err != nil {
+			s.t.Fatal(err)
+		}
+		s.askFor(1500 * time.Millisecond)
+	}
+}
+
+// Where all servers are limited to half of what is asked, they get what they allow and hardly less, and
+// who is refused is told so at once, and when to come back.
+func TestWhereAllServersStateALimit(t *testing.T) {
+	const limit = 4.0
+	for _, route := range []string{"list", "advice"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			s := startSpeakers(t, route, 6, 3)
+			for _, w := range s.servers {
+				w.Say(fmt.Sprint("Server-Limit: ", limit))
+			}
+			stated := time.Now()
+			s.askFor(contact)
+			before := 0
+			for _, w := range s.servers {
+				before += w.Asked()
+			}
+			const during = 6 * time.Second
+			s.askFor(during)
+			used := -before
+			for _, w := range s.servers {
+				used += w.Asked()
+				s.checkLimit(w, limit, stated)
+			}
+			all := limit * float64(len(s.servers)) * during.Seconds()
+			t.Logf("%s: %d of %.0f used", route, used, all)
+			if float64(used) < leastOfLimit*all {
+				t.Errorf("%s: %d of the %.0f requests that the limits allow were sent", route, used, all)
+			}
+			s.checkRefusals()
+		})
+	}
+}
+
+// A limit that a server no longer states is known within seconds, and the server used as the others.
+func TestALimitThatIsTakenBackIsForgotten(t *testing.T) {
+	for _, route := range []string{"list", "advice"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			s := startSpeakers(t, route, 2, 4)
+			for _, w := range s.servers {
+				w.Say("Server-Limit: 1")
+			}
+			s.askFor(contact + time.Second)
+			for _, w := range s.servers {
+				w.Say()
+			}
+			s.askFor(knownWithin)
+			s.asked.Wait()
+			s.mu.Lock()
+			s.answers = nil
+			s.mu.Unlock()
+			s.askFor(time.Second)
+			s.checkServed()
+		})
+	}
+}
