Refuse no urgent request in a burst for the sake of less urgent ones

What callers saw: where a service has more to do than it can, questions that came in a burst were refused (429) while reports went on being sent.

Cause: what can't be on time any more is refused where what comes meanwhile fills the engines, and that counted everything that comes, also what is less urgent and goes behind. Ruled out: that the wait itself is overestimated (the same with exact reading times). Now only the load of the request's own rank and of those before it tells whether there is anything left over, and only what is more urgent takes its time from what is left.

--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -77,7 +77,7 @@
 	begun    time.Time     // with the first of them
 	tight    time.Duration // the shortest pause that a request bears, as asked at tightAt
 	tightAt  time.Time
-	load     load
+	load     loads
 	looked   time.Time // when all that waits or is granted was looked through
 	scratch  []site
 	waits    capacity // scratch, as last worked out
@@ -149,7 +149,7 @@
 		return Answer{ID: a.ID, Verdict: Granted}
 	}
 	q.noteGap(a.Gap, now)
-	q.load.add(q.model.ReadTime(a.Own, a.Shared), now)
+	q.load.add(a.Rank, q.model.ReadTime(a.Own, a.Shared), now)
 	if !q.anyUsable(a, now) {
 		return q.answer(a.ID, NoEngine, shortestReturn)
 	}
--- a/internal/permit/queue_test.go
+++ b/internal/permit/queue_test.go
@@ -489,3 +489,48 @@
 		q.End("x", Stream{}, now)
 	}
 }
+
+// What users saw: questions that came in a burst were refused while reports went on being sent, because
+// the reports that would come meanwhile counted as if they went first.
+func TestABurstOfUrgentRequestsIsNotRefusedForTheSakeOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	q, now := newQueue(1)
+	sent, refused := map[int]int{}, map[int]int{}
+	rank, ends := map[string]int{}, map[string]time.Time{}
+	take := func(a Answer) {
+		switch a.Verdict {
+		case Granted:
+			sent[rank[a.ID]]++
+			ends[a.ID] = now.Add(a.Read)
+		case Refused:
+			refused[rank[a.ID]]++
+		}
+	}
+	ask := func(a Ask) {
+		rank[a.ID] = a.Rank
+		take(q.Ask(a, now))
+	}
+	for i := range 1000 { // 20 s
+		if i%10 == 0 {
+			ask(long(fmt.Sprint("report-", i), 8000))
+		}
+		if i%100 < 8 { // a burst every 2 s, half of the engine's time in all
+			urgent := Ask{ID: fmt.Sprint("question-", i), Own: 3500, Target: 300 * time.Millisecond, Limit: 2 * time.Second}
+			ask(urgent)
+		}
+		now = now.Add(20 * time.Millisecond)
+		for id, end := range ends {
+			if !now.Before(end) {
+				q.FirstToken(id, 0, now)
+				q.End(id, Stream{}, now)
+				delete(ends, id)
+			}
+		}
+		for _, a := range q.Next(now) {
+			take(a)
+		}
+	}
+	t.Logf("sent %v, refused %v", sent, refused)
+	g.Expect(refused[0]).To(BeZero())
+	g.Expect(sent[6]).To(BeNumerically(">", 10))
+}
--- a/internal/permit/wait.go
+++ b/internal/permit/wait.go
@@ -128,7 +128,7 @@
 		return age > e.ask.Limit
 	}
 	if age+wait > time.Duration(onTimePart*float64(e.ask.Target)) {
-		wait = q.drained(wait, engines, now)
+		wait = q.drained(wait, e.ask.Rank, engines, now)
 	}
 	return age+wait > time.Duration(lateShare*float64(e.ask.Limit))
 }
@@ -144,14 +144,19 @@
 	return now.Sub(q.begun) < startingFor && !q.model.Informed()
 }
 
-// drained is how long a wait becomes where what comes meanwhile goes first.
-func (q *Queue) drained(wait time.Duration, engines int, now time.Time) time.Duration {
-	left := 1 - q.load.engines(now)/float64(max(engines, 1))
+// drained is how long the wait of a request with a rank becomes where what comes meanwhile goes first.
+func (q *Queue) drained(wait time.Duration, rank int, engines int, now time.Time) time.Duration {
+	all, left := float64(max(engines, 1)), leastLeft
+	if q.load.upTo(rank, now) < all {
+		// Equals that come meanwhile leave some over, so that only what is more urgent takes its time. Were
+		// they counted, urgent requests would be refused in a burst, and less urgent ones served after it.
+		left = 1 - q.load.upTo(rank-1, now)/all
+	}
 	return time.Duration(float64(wait) / max(left, leastLeft))
 }
 
 // comeBack is when a refused caller is to ask again: when the backlog has sunk to what its
 // target bears, with what comes meanwhile.
 func (q *Queue) comeBack(wait time.Duration, a Ask, engines int, now time.Time) time.Duration {
-	return min(max(q.drained(wait, engines, now)-a.Target/2, shortestReturn), longestReturn)
+	return min(max(q.drained(wait, a.Rank, engines, now)-a.Target/2, shortestReturn), longestReturn)
 }
