--- a/e2e/notices_test.go
+++ b/e2e/notices_test.go
@@ -191,7 +191,11 @@
 }
 
 // What the operators saw: a backend server that had stated in its answers that it takes one request a
-// second from all hosts together went on getting three to ten a second; callers noticed nothing.
+// second from all hosts together went on getting three to ten a second; callers noticed nothing. Order:
+// a server states its limit; each gateway passes the answer on; its next requests go by load and by the
+// prompts' shared parts as before. Cause: of what a server says of itself in its answers only its load
+// was read. Evidence: decision lines of such sends name the limit that the same gateway had just been
+// told, on each kind of route, and the rate does not change at the first word.
 func TestAStatedRateLimitIsKept(t *testing.T) {
 	play := func(name, route string, seed uint64, meanwhile func(s *speakers)) {
 		t.Run(name+"/"+route, func(t *testing.T) {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -40,6 +40,8 @@
 	RetryBudget     Code = "retry_budget_spent"
 	RecordsFull     Code = "records_full"
 	LinkBusy        Code = "link_busy"
+	// ServerRate: the backend servers take no more requests a second.
+	ServerRate Code = "server_rate_limit"
 	// Quarantined: servers have ended each time they ran the request.
 	Quarantined Code = "quarantined"
 
@@ -142,7 +144,7 @@
 	UnknownClass: http.StatusBadRequest, UnknownModel: http.StatusNotFound,
 	UnknownService: http.StatusNotFound, KeyConflict: http.StatusConflict,
 	Conflict: http.StatusPreconditionFailed, InUse: http.StatusConflict,
-	TeamRate: http.StatusTooManyRequests, TeamConcurrency: http.StatusTooManyRequests,
+	TeamRate: http.StatusTooManyRequests, ServerRate: http.StatusTooManyRequests, TeamConcurrency: http.StatusTooManyRequests,
 	QueueFull: http.StatusTooManyRequests, WaitTooLong: http.StatusTooManyRequests,
 	RetryBudget: http.StatusServiceUnavailable, RecordsFull: http.StatusServiceUnavailable,
 	Quarantined: http.StatusServiceUnavailable,
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -19,6 +19,8 @@
 	// noServerRetryAfter is told when no server took the request: about the time
 	// in which a passed-over server is tried again.
 	noServerRetryAfter = 500 * time.Millisecond
+	// longestReturn bounds what is told where servers state when they take the next request.
+	longestReturn = 5 * time.Second
 )
 
 // errorBody is the body of the gateway's own answers.
@@ -114,5 +116,8 @@
 	if q.identity != nil {
 		out = append(out, slog.String("request", q.identity.String()))
 	}
+	if len(q.standing) > 0 {
+		out = append(out, slog.Any("notices", q.standing))
+	}
 	return append(out, slog.Any("sends", q.sends))
 }
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -177,16 +178,40 @@
 	if g.needsPermit(q) {
 		return g.acquire(ctx, q, tried, t, rel)
 	}
-	var c placement.Choice
-	if q.route.PrefixAffinity {
-		c = placement.Engine(g.placementRequest(q), g.candidates(q.service, tried))
-	} else {
-		c = placement.Plain(g.placementRequest(q), g.candidates(q.service, tried))
-	}
-	if c.Candidate == nil {
-		return c, peers.Leave{}, g.noServer(q)
+	candidates := g.candidates(q.service, tried)
+	q.noteStanding(g, candidates)
+	c, err := g.place(q, candidates)
+	return c, peers.Leave{}, err
+}
+
+// place chooses a server by what this gateway knows alone, and takes leave of this gateway's share
+// where the server states a rate.
+func (g *Gateway) place(q *request, candidates []placement.Candidate) (placement.Choice, error) {
+	wait, exhausted := longestReturn, 0
+	for {
+		now, limits := g.now(), g.notices.Limits()
+		candidates = slices.DeleteFunc(candidates, func(c placement.Candidate) bool {
+			b := limits.Budget(c.Server.Start(), now)
+			if b.Wait > 0 {
+				wait = min(wait, b.Wait)
+				exhausted++
+			}
+			return b.Wait > 0
+		})
+		choose := placement.Plain
+		if q.route.PrefixAffinity {
+			choose = placement.Engine
+		}
+		c := choose(g.placementRequest(q), candidates)
+		switch {
+		case c.Candidate == nil && exhausted > 0:
+			return c, g.limited(exhausted, wait)
+		case c.Candidate == nil:
+			return c, g.noServer(q)
+		case limits.Take(c.Candidate.Server.Start(), now):
+			return c, nil
+		}
 	}
-	return c, peers.Leave{}, nil
 }
 
 // candidates are the servers of a service that may get work now.
@@ -233,7 +258,7 @@
 	} else {
 		defer resp.Close()
 		answer := g.dialect.Answer(resp.Status, q.call.ID, resp.Header)
-		said = g.heard(server, answer.Said) // with the head: a stream may last for long
+		said = g.heard(server, answer.Said, sentAt) // with the head: a stream may last for long
 		if answer.Load != nil {
 			answer.Load.At = g.now()
 			b.Report(*answer.Load)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,8 +17,10 @@
 
 	"github.com/merlinpost/merlinpost/internal/decisionlog"
 	"github.com/merlinpost/merlinpost/internal/exchange"
+	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/placement"
 	"github.com/merlinpost/merlinpost/internal/quarantine"
+	"github.com/merlinpost/merlinpost/internal/ratelimit"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/retrybudget"
 	"github.com/merlinpost/merlinpost/internal/routing"
@@ -64,6 +66,7 @@
 	failureLines decisionlog.Limiter
 	ends         endChecks
 	ledger       *quarantine.Ledger
+	notices      *notice.Board
 	trials       Trials // nil: this gateway is alone
 
 	mu      sync.Mutex
@@ -83,6 +86,7 @@
 		ends:    endChecks{byStart: map[string]*endCheck{}, unclear: map[string][]brokenRun{}},
 		ledger:  quarantine.New(),
 	}
+	g.notices = notice.NewBoard(ratelimit.New(g.draw), g.noticed)
 	servers.OnRestart(g.pool.Forget)
 	servers.OnEnd(g.startEnded)
 	g.settings.Store(&set)
--- a/internal/gateway/gateway_suite_test.go
+++ b/internal/gateway/gateway_suite_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -36,6 +37,25 @@
 	workers []*worker.Worker
 	front   *httptest.Server
 	client  *http.Client
+	log     lines
+}
+
+// lines keeps what a gateway writes.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 // routes of the rig, all on host a.example.
@@ -65,7 +85,7 @@
 func newRig(workers int) *rig {
 	r := &rig{servers: registry.New(), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	r.gateway = gateway.New(gateway.Settings{Retries: retrybudget.Settings{Ratio: 0.2, Window: 10 * time.Second, Spare: 2}},
-		platform.Dialect{}, r.servers, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		platform.Dialect{}, r.servers, slog.New(slog.NewJSONHandler(&r.log, nil)))
 	var list []registry.Server
 	for i := range workers {
 		w, err := worker.Start(fmt.Sprintf("i-%d", i))
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -1,29 +1,60 @@
 package gateway
 
 import (
+	"log/slog"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/notice"
+	"github.com/merlinpost/merlinpost/internal/permit"
+	"github.com/merlinpost/merlinpost/internal/placement"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
 // heard takes in what an answer says of its server, and returns it for the decision line; nil for
-// nothing.
-func (g *Gateway) heard(server registry.Server, said *notice.Said) *notice.Said {
-	if said == nil || said.Silent() {
+// nothing. The request was sent at a time.
+func (g *Gateway) heard(server registry.Server, said *notice.Said, sent time.Time) *notice.Said {
+	if said == nil {
 		return nil
 	}
+	now := g.now()
+	g.notices.Heard(server.Start(), *said, sent, now)
 	for _, kind := range said.Kinds() {
 		telemetry.Count("merlinpost_server_notices_total", "service", server.Service, "kind", string(kind))
 	}
 	for _, kind := range said.Unreadable {
 		telemetry.Count("merlinpost_server_notices_unreadable_total", "service", server.Service, "kind", string(kind))
-		if g.failureLines.Allow("notice unreadable", g.now()) {
+		if g.failureLines.Allow("notice unreadable", now) {
 			g.logger.Warn("notice of a backend server can't be read", "server", server.Start(), "kind", string(kind))
 		}
 	}
+	if said.Silent() {
+		return nil
+	}
 	return said
 }
 
+// noticed logs a change of what is known of a server.
+func (g *Gateway) noticed(e notice.Event) {
+	change := "stated"
+	if e.Ended {
+		change = "ended"
+	}
+	telemetry.Count("merlinpost_server_notice_changes_total", "kind", string(e.Kind), "change", change)
+	if !g.failureLines.Allow("notice "+change, g.now()) {
+		return
+	}
+	attributes := []any{slog.String("server", e.Server), slog.String("kind", string(e.Kind)), slog.String("change", change)}
+	if e.Kind == notice.RateLimit && !e.Ended {
+		attributes = append(attributes, slog.Float64("limit", e.Limit))
+	}
+	if e.From != "" {
+		attributes = append(attributes, slog.String("told_by", e.From))
+	}
+	g.logger.Info("backend server's notice", attributes...)
+}
+
 // spoke reports whether a server has said something of itself to the request.
 func (q *request) spoke() bool {
 	for _, s := range q.sends {
@@ -33,3 +64,54 @@
 	}
 	return false
 }
+
+// maxStanding bounds the servers of which a decision line tells what was known.
+const maxStanding = 4
+
+// noteStanding keeps what is known of the candidates for the decision line.
+func (q *request) noteStanding(g *Gateway, candidates []placement.Candidate) {
+	if g.notices.Empty() {
+		return
+	}
+	now := g.now()
+	q.standing = q.standing[:0]
+	for _, c := range candidates {
+		if s := g.notices.Standing(c.Server.Start(), now); s != nil && len(q.standing) < maxStanding {
+			q.standing = append(q.standing, *s)
+		}
+	}
+}
+
+// anyLimited reports whether a server of a service states a rate.
+func (g *Gateway) anyLimited(service string) bool {
+	if g.notices.Empty() {
+		return false
+	}
+	for _, b := range g.servers.Ready(service) {
+		server := b.Server()
+		if g.notices.Limits().Limited(server.Start()) {
+			return true
+		}
+	}
+	return false
+}
+
+// Limited lists the servers that state a rate, by the group to which they belong.
+func (g *Gateway) Limited() map[permit.Group][]string {
+	out := map[permit.Group][]string{}
+	for _, start := range g.notices.Limits().Servers() {
+		if server, listed := g.servers.Find(start); listed {
+			group := permit.Group{Service: server.Service,
+				Index: placement.GroupOf(server.ID, placement.Groups(len(g.servers.Ready(server.Service))))}
+			out[group] = append(out[group], start)
+		}
+	}
+	return out
+}
+
+// limited is the answer where servers take no more now by the rates that they state.
+func (g *Gateway) limited(servers int, wait time.Duration) error {
+	telemetry.Count("merlinpost_requests_held_back_total", "kind", string(notice.RateLimit))
+	return fault.New(fault.ServerRate, "%d backend servers take no more requests by the rates that they state", servers).
+		With(fault.NotRun).After(max(wait, noServerRetryAfter))
+}
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/permit"
 	"github.com/merlinpost/merlinpost/internal/placement"
@@ -47,6 +48,9 @@
 // Serve.
 func (g *Gateway) UsePeers(p Peers) { g.peers = p }
 
+// Notices returns what the gateway knows that servers say of themselves.
+func (g *Gateway) Notices() *notice.Board { return g.notices }
+
 // Engines lists the members of a group of engines as this gateway knows them. That this
 // gateway can't reach one says nothing for the others, who tell which engines failed them.
 func (g *Gateway) Engines(group permit.Group) []permit.Engine {
@@ -66,9 +70,10 @@
 	return out
 }
 
-// needsPermit reports whether leave is asked for before the request is sent.
+// needsPermit reports whether leave is asked for before the request is sent: for prompts, and where a
+// server of the service states a rate that all gateways share.
 func (g *Gateway) needsPermit(q *request) bool {
-	return g.peers != nil && q.route.PrefixAffinity
+	return g.peers != nil && (q.route.PrefixAffinity || g.anyLimited(q.service))
 }
 
 // acquire asks for leave to send the request, at one group of engines after the
@@ -89,6 +94,7 @@
 	// ended a server after the other ahead of everybody's questions.
 	asked.Begun = asked.Begun && !t.apart
 	asked.Avoid = avoided(candidates)
+	q.noteStanding(g, candidates)
 	var refused permit.Answer
 	for ask, group := 0, 0; ask < maxAsks && group < min(maxGroups, len(groups)); ask++ {
 		asked.ID = fmt.Sprintf("%s/%d", q.call.ID, q.asks)
@@ -112,7 +118,8 @@
 			continue
 		}
 		if answer.Engine == "" {
-			return g.undecided(q, candidates)
+			choice, err := g.undecided(q, candidates)
+			return choice, peers.Leave{}, err
 		}
 		candidates = g.candidates(q.service, tried) // it may have waited for seconds
 		if choice := decided(answer, candidates); choice.Candidate != nil {
@@ -124,17 +131,20 @@
 	if refused.ID == "" {
 		return placement.Choice{}, peers.Leave{}, g.noServer(q)
 	}
+	if refused.Limited > 0 {
+		return placement.Choice{}, peers.Leave{}, g.limited(refused.Limited, refused.Wait)
+	}
 	return placement.Choice{}, peers.Leave{}, fault.New(fault.WaitTooLong, "the engines have a backlog of %d tokens", refused.Backlog).
 		With(fault.NotRun).After(refused.Wait)
 }
 
-// undecided chooses the engine where no other gateway decides.
-func (g *Gateway) undecided(q *request, candidates []placement.Candidate) (placement.Choice, peers.Leave, error) {
-	choice := placement.Engine(g.placementRequest(q), candidates)
-	if choice.Candidate == nil || !reachable(*choice.Candidate) {
-		return placement.Choice{}, peers.Leave{}, g.noServer(q)
+// undecided chooses the server where no other gateway decides.
+func (g *Gateway) undecided(q *request, candidates []placement.Candidate) (placement.Choice, error) {
+	choice, err := g.place(q, candidates)
+	if err == nil && !reachable(*choice.Candidate) {
+		return placement.Choice{}, g.noServer(q)
 	}
-	return choice, peers.Leave{}, nil
+	return choice, err
 }
 
 // reachable reports whether the request may be sent to an engine from here.
@@ -169,7 +179,8 @@
 
 // noteRefusal keeps a refusal for the decision line.
 func (g *Gateway) noteRefusal(q *request, answer permit.Answer) {
-	q.sends = append(q.sends, send{Result: answer.Verdict.String(), Wait: answer.Wait, Unread: int64(answer.Backlog), At: g.now().Sub(q.start)})
+	q.sends = append(q.sends, send{Result: answer.Verdict.String(), Wait: answer.Wait, Unread: int64(answer.Backlog), Limited: answer.Limited,
+		At: g.now().Sub(q.start)})
 }
 
 // patience is how long a caller of the route waits for a first event.
@@ -181,7 +192,7 @@
 func (g *Gateway) ask(q *request, rel *relay) permit.Ask {
 	prompt := q.call.Prompt
 	part, shared := prompt.Shared()
-	a := permit.Ask{Own: prompt.Tokens - shared, Part: part, Shared: shared, Output: prompt.Output, Gap: q.route.TargetGap,
+	a := permit.Ask{Plain: !q.route.PrefixAffinity, Own: prompt.Tokens - shared, Part: part, Shared: shared, Output: prompt.Output, Gap: q.route.TargetGap,
 		FailureDomain: g.settings.Load().FailureDomain}
 	now := g.now()
 	left := q.deadline.Sub(now)
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,13 @@
 	return answer, peers.Leave{}
 }
 
+// asked are the asks so far.
+func (d *decider) asked() []permit.Ask {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.asks)
+}
+
 var _ = Describe("a gateway before it sends a long prompt", func() {
 	before := func(workers int, answers ...permit.Answer) (*rig, *decider) {
 		r := started(workers)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -39,6 +39,8 @@
 	priority int
 	sends    []send
 	asks     int // for leave, so far
+	// standing is what was known of the service's servers when one was chosen.
+	standing []notice.Standing
 	// identity is set when it is first asked for; see id.
 	identity *quarantine.ID
 }
@@ -54,14 +56,16 @@
 
 // send is one try to have the request run.
 type send struct {
-	Server  string        `json:"server"`
-	Reason  string        `json:"reason"` // why the server was chosen
-	Fetch   string        `json:"fetch,omitempty"`
-	Result  string        `json:"result"`
-	Cause   string        `json:"cause,omitempty"`
-	Wait    time.Duration `json:"wait,omitempty"`   // that who decides expects
-	Expect  time.Duration `json:"expect,omitempty"` // of the time to the first event, by what was learnt
-	First   time.Duration `json:"first,omitempty"`  // the time to the first event
+	Server string        `json:"server"`
+	Reason string        `json:"reason"` // why the server was chosen
+	Fetch  string        `json:"fetch,omitempty"`
+	Result string        `json:"result"`
+	Cause  string        `json:"cause,omitempty"`
+	Wait   time.Duration `json:"wait,omitempty"`   // that who decides expects
+	Expect time.Duration `json:"expect,omitempty"` // of the time to the first event, by what was learnt
+	First  time.Duration `json:"first,omitempty"`  // the time to the first event
+	// Limited is how many servers took nothing by the rates that they state, where that was refused.
+	Limited int           `json:"limited,omitempty"`
 	Running int           `json:"running"`
 	Unread  int64         `json:"unread"`
 	Longest time.Duration `json:"longest,omitempty"` // pause between two events
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -116,6 +116,10 @@
 			return
 		case <-tick.C:
 			g.pool.Sweep()
+			g.notices.Sweep(func(start string) bool {
+				_, listed := g.servers.Find(start)
+				return listed
+			}, g.now())
 		}
 	}
 }
--- /dev/null
+++ b/internal/notice/board.go
@@ -0,0 +1,165 @@
+package notice
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/ratelimit"
+)
+
+const (
+	// keepUnlisted is how long what is known of a server is kept while it is not listed: entries lapse
+	// while the list can't be written, and come back.
+	keepUnlisted = time.Minute
+	// maxServers bounds the servers of which something is known; the largest fleet has 650.
+	maxServers = 4096
+)
+
+// Board is what a gateway knows of notices, by the start of a server: what it heard in answers, and
+// what the others told. It is safe for concurrent use.
+type Board struct {
+	limits *ratelimit.Limiter
+	notify func(Event)
+	count  atomic.Int32  // of servers: most days have none
+	wake   chan struct{} // there is something to tell
+
+	mu      sync.Mutex
+	servers map[string]*state
+}
+
+// state is what is known of one start of a server.
+type state struct {
+	limited bool
+	limit   float64
+	// stated is when the limit was last stated, cleared the newest moment of which it is known that
+	// none was.
+	stated, cleared time.Time
+	from            string // who told of it last, empty where it was heard here
+	tells           tells
+	listed          time.Time // when the server was last seen on the list, or this state began
+}
+
+// Event is a change of what is known of a server.
+type Event struct {
+	Server string
+	Kind   Kind
+	Ended  bool
+	Limit  float64
+	From   string // the gateway that told, empty where it was heard here
+}
+
+// NewBoard returns an empty board that keeps limits in force at a limiter. Notify is called with each
+// change; it does not call the board.
+func NewBoard(limits *ratelimit.Limiter, notify func(Event)) *Board {
+	return &Board{limits: limits, notify: notify, wake: make(chan struct{}, 1), servers: map[string]*state{}}
+}
+
+// Limits returns the limiter.
+func (b *Board) Limits() *ratelimit.Limiter { return b.limits }
+
+// Empty reports whether nothing is known of any server.
+func (b *Board) Empty() bool { return b.count.Load() == 0 }
+
+// Heard takes in what the answer to a request says, which was sent at a time. Answers overtake each
+// other: one that says less than what was heard last counts only if its request was sent after that.
+func (b *Board) Heard(server string, said Said, sent, now time.Time) {
+	if said.Silent() && b.Empty() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(server, said.Limited, now)
+	if s == nil {
+		return
+	}
+	newer := sent.After(s.stated)
+	switch {
+	case said.Limited && (!s.limited || said.Limit <= s.limit || newer):
+		b.setLimit(server, s, said.Limit, now, "", now)
+	case !said.Limited && !said.unreadable(RateLimit) && s.limited && newer:
+		b.clearLimit(server, s, sent, "", now)
+	}
+}
+
+// state returns what is known of a server; nil for nothing, unless it is to be made.
+func (b *Board) state(server string, create bool, now time.Time) *state {
+	s := b.servers[server]
+	if s == nil && create && len(b.servers) < maxServers {
+		s = &state{listed: now}
+		b.servers[server] = s
+		b.count.Store(int32(len(b.servers)))
+	}
+	return s
+}
+
+func (b *Board) setLimit(server string, s *state, limit float64, stated time.Time, from string, now time.Time) {
+	changed := !s.limited || s.limit != limit
+	s.limited, s.limit, s.stated, s.from = true, limit, stated, from
+	if !changed {
+		return
+	}
+	b.limits.Set(server, limit, now)
+	b.changed(s, Event{Server: server, Kind: RateLimit, Limit: limit, From: from}, now)
+}
+
+func (b *Board) clearLimit(server string, s *state, at time.Time, from string, now time.Time) {
+	s.limited, s.cleared, s.from = false, at, from
+	b.limits.Remove(server)
+	b.changed(s, Event{Server: server, Kind: RateLimit, Ended: true, From: from}, now)
+}
+
+// changed tells of a change: the others, where it was heard here.
+func (b *Board) changed(s *state, e Event, now time.Time) {
+	b.notify(e)
+	if e.From != "" {
+		return
+	}
+	s.tells = firstTell(now)
+	select {
+	case b.wake <- struct{}{}:
+	default: // somebody has been woken already
+	}
+}
+
+// Standing is what is known of a server, as decision lines show it.
+type Standing struct {
+	Server string        `json:"server"`
+	Limit  *float64      `json:"limit,omitempty"` // requests a second, nil for no limit
+	Age    time.Duration `json:"age"`             // since it was stated last
+	From   string        `json:"from,omitempty"`  // the gateway that told, empty where it was heard here
+}
+
+// Standing returns what is known of a server, nil for nothing.
+func (b *Board) Standing(server string, now time.Time) *Standing {
+	if b.Empty() {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[server]
+	if s == nil || !s.limited {
+		return nil
+	}
+	limit := s.limit
+	return &Standing{Server: server, Limit: &limit, Age: now.Sub(s.stated), From: s.from}
+}
+
+// Sweep forgets servers that have not been listed for a while.
+func (b *Board) Sweep(listed func(server string) bool, now time.Time) {
+	if b.Empty() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for server, s := range b.servers {
+		if listed(server) {
+			s.listed = now
+		}
+		if now.Sub(s.listed) > keepUnlisted || !s.limited && now.Sub(s.cleared) > keepUnlisted {
+			b.limits.Remove(server)
+			delete(b.servers, server)
+		}
+	}
+	b.count.Store(int32(len(b.servers)))
+}
--- /dev/null
+++ b/internal/notice/board_test.go
@@ -0,0 +1,128 @@
+package notice
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/merlinpost/merlinpost/internal/ratelimit"
+)
+
+const server = "i-1@1765000000000"
+
+// board is a board with what it has told of its changes.
+type board struct {
+	*Board
+	events []Event
+}
+
+func newBoard() *board {
+	b := &board{}
+	b.Board = NewBoard(ratelimit.New(func() float64 { return 0 }), func(e Event) { b.events = append(b.events, e) })
+	return b
+}
+
+func at(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+
+func limit(rate float64) Said { return Said{Limited: true, Limit: rate} }
+
+// rate is the limit in force at a board, 0 for none.
+func (b *board) rate(now int) float64 { return b.limits.Budget(server, at(now)).Rate }
+
+func TestNothingIsKeptWhereNothingIsSaid(t *testing.T) {
+	g := NewWithT(t)
+	b := newBoard()
+	b.Heard(server, Said{}, at(0), at(10))
+	g.Expect(b.Empty()).To(BeTrue())
+	g.Expect(b.Due(at(10))).To(BeEmpty())
+	g.Expect(b.Standing(server, at(10))).To(BeNil())
+}
+
+func TestALimitEndsWithAnAnswerThatDoesNotStateIt(t *testing.T) {
+	g := NewWithT(t)
+	b := newBoard()
+	b.Heard(server, limit(4), at(0), at(100))
+	g.Expect(b.rate(100)).To(Equal(4.0))
+	g.Expect(b.Standing(server, at(300)).Age).To(Equal(200 * time.Millisecond))
+
+	b.Heard(server, Said{}, at(50), at(150)) // was sent before the limit was heard: it may be older
+	g.Expect(b.rate(150)).To(Equal(4.0))
+	b.Heard(server, Said{Unreadable: []Kind{RateLimit}}, at(160), at(200)) // says nothing
+	g.Expect(b.rate(200)).To(Equal(4.0))
+	b.Heard(server, Said{}, at(160), at(210))
+	g.Expect(b.limits.Limited(server)).To(BeFalse())
+	g.Expect(b.events).To(Equal([]Event{{Server: server, Kind: RateLimit, Limit: 4}, {Server: server, Kind: RateLimit, Ended: true}}))
+}
+
+func TestTheMoreCautiousOfTwoAnswersThatOvertakeEachOtherCounts(t *testing.T) {
+	g := NewWithT(t)
+	b := newBoard()
+	b.Heard(server, limit(4), at(0), at(100))
+	b.Heard(server, limit(1), at(20), at(110))
+	g.Expect(b.rate(110)).To(Equal(1.0))
+	b.Heard(server, limit(4), at(30), at(120))
+	g.Expect(b.rate(120)).To(Equal(1.0))
+	b.Heard(server, limit(8), at(115), at(130))
+	g.Expect(b.rate(130)).To(Equal(8.0))
+}
+
+func TestAChangeIsToldThreeTimes(t *testing.T) {
+	g := NewWithT(t)
+	b := newBoard()
+	b.Heard(server, limit(4), at(0), at(100))
+	g.Expect(b.Telling()).To(Receive())
+	told := 0
+	for now := 100; now < 3000; now += 10 {
+		told += len(b.Due(at(now)))
+		b.Heard(server, limit(4), at(now-5), at(now)) // again and again
+	}
+	g.Expect(told).To(Equal(tellTimes))
+	g.Expect(b.All(at(3000))).To(HaveLen(1))
+}
+
+func TestWhatIsToldIsTakenInAsItIsNewer(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newBoard(), newBoard()
+	a.Heard(server, limit(1), at(0), at(100))
+	b.Told(a.Due(at(100))[0], "edge-a", at(105))
+	g.Expect(b.rate(105)).To(Equal(1.0))
+	g.Expect(b.Standing(server, at(205)).From).To(Equal("edge-a"))
+	g.Expect(b.Due(at(1000))).To(BeEmpty(), "what was told is not told on")
+
+	b.Heard(server, Said{}, at(1000), at(1050)) // b hears that it has ended
+	ended := b.Due(at(1050))[0]
+	late := a.All(at(1060))[0] // a has not heard that yet, and tells what it knows
+	better := b.Told(late, "edge-a", at(1065))
+	g.Expect(better).NotTo(BeNil())
+	g.Expect(better.Limited).To(BeFalse())
+	g.Expect(b.limits.Limited(server)).To(BeFalse())
+	a.Told(ended, "edge-b", at(1070))
+	g.Expect(a.limits.Limited(server)).To(BeFalse())
+
+	a.Heard(server, limit(2), at(1200), at(1300)) // it is limited again
+	g.Expect(a.Told(b.word(at(1305)), "edge-b", at(1310))).To(BeNil())
+	g.Expect(a.rate(1310)).To(Equal(2.0), "the end of the limit before says nothing of this one")
+}
+
+// word is what the board tells of the server.
+func (b *board) word(now time.Time) Told {
+	told, _ := b.Of(server, now)
+	return told
+}
+
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	b := newBoard()
+	b.Heard(server, limit(1), at(0), at(100))
+	listed := true
+	sweep := func(ms int) { b.Sweep(func(string) bool { return listed }, at(ms)) }
+	sweep(200_000)
+	g.Expect(b.limits.Limited(server)).To(BeTrue())
+	listed = false // as in an outage of the list
+	sweep(250_000)
+	g.Expect(b.limits.Limited(server)).To(BeTrue())
+	sweep(261_000)
+	g.Expect(b.limits.Limited(server)).To(BeFalse())
+	g.Expect(b.Empty()).To(BeTrue())
+}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -3,7 +3,10 @@
 // and no network here.
 package notice
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind names a notice.
 type Kind string
@@ -47,6 +50,9 @@
 	return out
 }
 
+// unreadable reports whether a notice was given that could not be read.
+func (s Said) unreadable(kind Kind) bool { return slices.Contains(s.Unreadable, kind) }
+
 // MaxLimit bounds the rates that are taken for one, in requests a second: a backend server runs some
 // ten or hundred requests at once.
 const MaxLimit = 1e6
--- /dev/null
+++ b/internal/notice/told.go
@@ -0,0 +1,107 @@
+package notice
+
+import "time"
+
+// Told is what a gateway tells the others of a server.
+type Told struct {
+	Server string `msgpack:"s"`
+	// Limited is whether the server states a limit, Limit its requests a second.
+	Limited bool    `msgpack:"l,omitempty"`
+	Limit   float64 `msgpack:"r,omitempty"`
+	// AgeMs is how long ago that was known.
+	AgeMs int64 `msgpack:"a,omitempty"`
+}
+
+// tells is when a change is told again, in case a datagram was lost.
+type tells struct {
+	left int
+	next time.Time
+}
+
+const (
+	// tellTimes is how often a change is told, tellAgain the pause after the first time; each further
+	// one is twice as long.
+	tellTimes = 3
+	tellAgain = 200 * time.Millisecond
+)
+
+func firstTell(now time.Time) tells { return tells{tellTimes, now} }
+
+// due reports whether it is time to tell, and counts it.
+func (t *tells) due(now time.Time) bool {
+	if t.left == 0 || now.Before(t.next) {
+		return false
+	}
+	t.next = now.Add(tellAgain << (tellTimes - t.left))
+	t.left--
+	return true
+}
+
+// Telling returns a channel on which something comes when there is something to tell.
+func (b *Board) Telling() <-chan struct{} { return b.wake }
+
+// Due returns what is to be told to all now.
+func (b *Board) Due(now time.Time) []Told {
+	return b.collect(now, func(s *state) bool { return s.tells.due(now) })
+}
+
+// All returns what is known of all servers, for a gateway that has just started.
+func (b *Board) All(now time.Time) []Told {
+	return b.collect(now, func(s *state) bool { return s.limited })
+}
+
+// Of returns what is known of one server.
+func (b *Board) Of(server string, now time.Time) (Told, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[server]
+	if s == nil {
+		return Told{}, false
+	}
+	return s.told(server, now), true
+}
+
+func (b *Board) collect(now time.Time, wanted func(*state) bool) []Told {
+	if b.Empty() {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Told
+	for server, s := range b.servers {
+		if wanted(s) {
+			out = append(out, s.told(server, now))
+		}
+	}
+	return out
+}
+
+func (s *state) told(server string, now time.Time) Told {
+	at := s.stated
+	if !s.limited {
+		at = s.cleared
+	}
+	return Told{Server: server, Limited: s.limited, Limit: s.limit, AgeMs: now.Sub(at).Milliseconds()}
+}
+
+// Told takes in what another gateway tells. Where this one knows better, it returns that, for the
+// other: its word may have been lost there.
+func (b *Board) Told(told Told, from string, now time.Time) (better *Told) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(told.Server, told.Limited, now)
+	if s == nil {
+		return nil
+	}
+	at := now.Add(-time.Duration(told.AgeMs) * time.Millisecond)
+	switch {
+	case told.Limited && at.Before(s.cleared):
+		known := s.told(told.Server, now)
+		return &known
+	case told.Limited && (!s.limited || at.After(s.stated)):
+		b.setLimit(told.Server, s, told.Limit, at, from, now)
+	case !told.Limited && s.limited && at.After(s.stated):
+		b.clearLimit(told.Server, s, at, from, now)
+	}
+	return nil
+}
--- a/internal/peers/beats.go
+++ b/internal/peers/beats.go
@@ -99,7 +99,7 @@
 // List takes in the gateways that the store lists.
 func (p *Peers) List(all []Member) {
 	p.mu.Lock()
-	p.members.list(all)
+	p.members.list(all, time.Now())
 	p.mu.Unlock()
 	p.beat(nil) // the new ones learn of this one
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -41,6 +41,9 @@
 	// with 10 instead of 200 Mbit/s has 887 KB after 0.9 s instead of 0.1 s, and tells the
 	// others only then.
 	largeShare = 0.5
+	// countedFor is how long a member that is not heard keeps its share of rates: it may be cut off from
+	// here and go on sending. Without an end, the shares of hosts that are gone for good would be lost.
+	countedFor = time.Minute
 )
 
 // members is the list of gateways as this one sees it. It is not safe for
@@ -55,6 +58,7 @@
 type presence struct {
 	Member
 	heard     time.Time // zero: never
+	listed    time.Time // when it was first listed
 	downUntil time.Time
 	leaving   bool
 	learnt    []learnt // as it said last
@@ -71,10 +75,13 @@
 }
 
 // list takes in members from the store. It is not a word that they are up.
-func (m *members) list(all []Member) {
+func (m *members) list(all []Member, now time.Time) {
 	for _, member := range all {
-		if member.Host != m.self.Host {
-			m.presence(member)
+		if member.Host == m.self.Host {
+			continue
+		}
+		if p := m.presence(member); p.listed.IsZero() {
+			p.listed = now
 		}
 	}
 }
@@ -121,6 +128,26 @@
 	return hosts
 }
 
+// sharing returns among how many gateways, this one included, the rates of servers are shared: those
+// that may be sending, whether they are heard or not.
+func (m *members) sharing(now time.Time) int {
+	n := 1
+	for _, p := range m.known {
+		if !p.leaving && now.Sub(p.lastSign()) <= max(countedFor, missedBeats*m.beatEvery()) {
+			n++
+		}
+	}
+	return n
+}
+
+// lastSign is when the member was heard or listed last.
+func (p *presence) lastSign() time.Time {
+	if p.heard.After(p.listed) {
+		return p.heard
+	}
+	return p.listed
+}
+
 // isLive reports whether another gateway is up.
 func (m *members) isLive(p *presence, now time.Time) bool {
 	return !p.heard.IsZero() && !p.leaving && now.After(p.downUntil) && now.Sub(p.heard) <= missedBeats*m.beatEvery()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/datagram"
+	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/permit"
 	"github.com/merlinpost/merlinpost/internal/quarantine"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
@@ -35,6 +36,10 @@
 	End        *end           `msgpack:"e,omitempty"`
 	// Requests is what the sender knows of requests that may end servers.
 	Requests []quarantine.Told `msgpack:"q,omitempty"`
+	// Notices is what the sender knows that servers say of themselves.
+	Notices []notice.Told `msgpack:"n,omitempty"`
+	// Loans are the rates of which the sender lends its share to the receiver.
+	Loans []notice.Told `msgpack:"l,omitempty"`
 }
 
 // beat is a heartbeat with what its sender has confirmed at the store.
@@ -75,6 +80,10 @@
 	Engines(permit.Group) []permit.Engine
 	// Quarantine is what it knows of requests that may end servers.
 	Quarantine() *quarantine.Ledger
+	// Notices is what it knows that servers say of themselves.
+	Notices() *notice.Board
+	// Limited lists the servers that state a rate, by the group to which they belong.
+	Limited() map[permit.Group][]string
 }
 
 // received is a datagram and its sender.
@@ -90,7 +99,10 @@
 	logger *slog.Logger
 	in     chan received
 	desk   *permit.Desk[netip.AddrPort] // of the goroutine in Run
+	local  Local
 	ledger *quarantine.Ledger
+	board  *notice.Board
+	loans  loans // of the goroutine in Run
 	start  time.Time
 
 	mu         sync.Mutex
@@ -124,9 +136,9 @@
 func join(host string, socket *datagram.Socket[message], capacity Capacity, local Local, logger *slog.Logger) *Peers {
 	self := socket.Address()
 	now := time.Now()
-	p := &Peers{socket: socket, self: self, logger: logger, in: make(chan received, ring), ledger: local.Quarantine(), start: now,
+	p := &Peers{socket: socket, self: self, logger: logger, in: make(chan received, ring), local: local, ledger: local.Quarantine(), board: local.Notices(), start: now,
 		members: newMembers(Member{host, self, capacity}, now), waiting: map[string]chan permit.Answer{}}
-	p.desk = permit.NewDesk[netip.AddrPort](local.Engines, p.told, permit.Policy{})
+	p.desk = permit.NewDesk[netip.AddrPort](local.Engines, p.told, p.board.Limits(), permit.Policy{})
 	return p
 }
 
@@ -148,12 +160,13 @@
 	defer timer.Stop()
 	learntLogged := time.Now()
 	for {
+		var came received
 		select {
 		case <-ctx.Done():
 			return
-		case r := <-p.in:
-			p.take(r, time.Now())
+		case came = <-p.in:
 		case <-p.ledger.Telling():
+		case <-p.board.Telling():
 		case <-timer.C:
 			next := idleTick
 			if p.desk.Waiting() > 0 {
@@ -162,11 +175,15 @@
 			timer.Reset(next)
 		}
 		now := time.Now()
+		p.noteStall(now)
+		p.take(came, now)
 		for _, due := range p.desk.Next(now) {
 			p.answer(due.Answer, due.To)
 		}
 		p.beatIfDue(now)
 		p.tellRequests(now)
+		p.tellNotices(now)
+		p.lend(now)
 		if now.Sub(learntLogged) >= learntLogEvery {
 			learntLogged = now
 			p.logLearnt()
@@ -218,6 +235,10 @@
 		p.desk.End(r.End.Group, r.End.ID, r.End.Stream, now)
 	case r.Requests != nil:
 		p.ledger.Hear(r.Requests, r.from.String(), now)
+	case r.Notices != nil:
+		p.hearNotices(r.Notices, r.from, now)
+	case r.Loans != nil:
+		p.borrow(r.Loans, r.from, now)
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"testing"
@@ -15,8 +16,10 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
+	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/permit"
 	"github.com/merlinpost/merlinpost/internal/quarantine"
+	"github.com/merlinpost/merlinpost/internal/ratelimit"
 )
 
 func TestPeers(t *testing.T) {
@@ -38,6 +41,12 @@
 
 func (local) Quarantine() *quarantine.Ledger { return quarantine.New() }
 
+func (local) Notices() *notice.Board {
+	return notice.NewBoard(ratelimit.New(rand.Float64), func(notice.Event) {})
+}
+
+func (local) Limited() map[permit.Group][]string { return nil }
+
 func (local) Engines(permit.Group) []permit.Engine {
 	return []permit.Engine{{ID: "engine", Open: true}}
 }
@@ -48,7 +57,7 @@
 	g := NewWithT(t)
 	now := time.Unix(0, 0)
 	m := newMembers(member("a", at(1)), now)
-	m.list([]Member{member("a", at(1)), member("b", at(2)), member("c", at(3))})
+	m.list([]Member{member("a", at(1)), member("b", at(2)), member("c", at(3))}, now)
 	g.Expect(m.live(now)).To(Equal([]string{"a"}))
 	m.beat(member("b", at(2)), false, now)
 	m.beat(member("c", at(3)), false, now)
@@ -149,7 +158,7 @@
 	g := NewWithT(t)
 	m := newMembers(member("a", at(1)), time.Unix(0, 0))
 	for i := range 389 {
-		m.list([]Member{member(fmt.Sprint(i), at(i+2))})
+		m.list([]Member{member(fmt.Sprint(i), at(i+2))}, time.Unix(0, 0))
 	}
 	datagramsPerSecond := 389 / m.beatEvery().Seconds()
 	// One gateway in 35 decides for a group and tells of one service's engines.
--- a/internal/peers/requests.go
+++ b/internal/peers/requests.go
@@ -43,6 +43,9 @@
 	for _, batch := range batches(p.ledger.All(now)) {
 		p.send(message{Requests: batch}, at)
 	}
+	for batch := range slices.Chunk(p.board.All(now), noticesInDatagram) {
+		p.send(message{Notices: batch}, at)
+	}
 }
 
 // batches parts what is told so that each part fits in a datagram.
--- a/internal/permit/ask.go
+++ b/internal/permit/ask.go
@@ -56,6 +56,8 @@
 	FailureDomain string `msgpack:"z,omitempty"`
 	// Begun requests have a part of their answer: the engine that gave it is gone.
 	Begun bool `msgpack:"b,omitempty"`
+	// Plain requests have no prompt that an engine would read: their servers run them side by side.
+	Plain bool `msgpack:"n,omitempty"`
 	// Avoid are engines that failed the request or that its gateway can't reach.
 	Avoid []string `msgpack:"a,omitempty"`
 }
@@ -104,6 +106,8 @@
 	// Backlog are the prompt tokens that were granted or queued and not read yet, in
 	// the whole group.
 	Backlog int `msgpack:"b,omitempty"`
+	// Limited is how many engines take nothing now by the rates that they state, or state one where all do.
+	Limited int `msgpack:"l,omitempty"`
 }
 
 // Stream is what a gateway saw of the answer to a granted request.
--- a/internal/permit/desk.go
+++ b/internal/permit/desk.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/enginemodel"
+	"github.com/merlinpost/merlinpost/internal/ratelimit"
 )
 
 const (
@@ -19,6 +20,7 @@
 type Desk[From any] struct {
 	engines func(Group) []Engine
 	told    func(service string) (enginemodel.Figures, bool)
+	limits  *ratelimit.Limiter
 	policy  Policy
 	models  map[string]*enginemodel.Service
 	queues  map[Group]*kept
@@ -38,16 +40,18 @@
 }
 
 // NewDesk returns a desk without queues. Engines lists the members of a group; told
-// returns what others have learnt of a service's engines, if any have.
-func NewDesk[From any](engines func(Group) []Engine, told func(service string) (enginemodel.Figures, bool), policy Policy) *Desk[From] {
-	return &Desk[From]{engines: engines, told: told, policy: policy, models: map[string]*enginemodel.Service{}, queues: map[Group]*kept{}, askers: map[string]From{}}
+// returns what others have learnt of a service's engines, if any have; limits are the rates that
+// engines state.
+func NewDesk[From any](engines func(Group) []Engine, told func(service string) (enginemodel.Figures, bool), limits *ratelimit.Limiter,
+	policy Policy) *Desk[From] {
+	return &Desk[From]{engines: engines, told: told, limits: limits, policy: policy, models: map[string]*enginemodel.Service{}, queues: map[Group]*kept{}, askers: map[string]From{}}
 }
 
 // Ask takes in an ask for an engine of a group.
 func (d *Desk[From]) Ask(group Group, a Ask, from From, now time.Time) Answer {
 	k := d.queues[group]
 	if k == nil {
-		k = &kept{Queue: NewQueue(d.model(group.Service), d.policy)}
+		k = &kept{Queue: NewQueue(d.model(group.Service), d.limits, d.policy)}
 		d.queues[group] = k
 	}
 	k.used = now
--- a/internal/permit/engine.go
+++ b/internal/permit/engine.go
@@ -56,6 +56,7 @@
 	failures int // in a row
 	pause    time.Time
 	errors   registry.FailureRate
+	granted  time.Time // when it was granted a request last
 }
 
 // reading is one prompt that was read.
@@ -120,6 +121,13 @@
 	e.runs[en.ask.ID] = en
 }
 
+// run counts a granted request that is not read.
+func (e *engine) run(en *entry, now time.Time) {
+	en.read, en.firstAt = true, now
+	e.used += en.ask.tokens()
+	e.runs[en.ask.ID] = en
+}
+
 // settle ends the reading of a granted request.
 func (e *engine) settle(en *entry, now time.Time) {
 	if en.read {
--- /dev/null
+++ b/internal/permit/limits_test.go
@@ -0,0 +1,135 @@
+package permit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// plain is an ask without a prompt.
+func plain(id string, rank int) Ask {
+	return Ask{ID: id, Plain: true, Rank: rank, Target: 300 * time.Millisecond, Limit: 2 * time.Second, Deadline: 5 * time.Second}
+}
+
+// limitedQueue is a queue of so many engines, of which so many state a rate.
+func limitedQueue(engines, limited int, rate float64) (*Queue, time.Time) {
+	q, now := newQueue(engines)
+	for i := range limited {
+		q.limits.Set(fmt.Sprint("e", i), rate, now)
+	}
+	return q, now
+}
+
+// What a server states of its rate binds wherever the prompt's shared part is kept.
+func TestAnEngineGetsNoMoreThanItsStatedRate(t *testing.T) {
+	g := NewWithT(t)
+	q, now := limitedQueue(2, 1, 1)
+	granted := map[string]int{}
+	end := now.Add(20 * time.Second)
+	for i := 0; now.Before(end); i++ {
+		a := sharing(fmt.Sprint(i), "part", 100)
+		if answer := q.Ask(a, now); answer.Verdict == Granted {
+			granted[answer.Engine]++
+		}
+		q.FirstToken(a.ID, 5*time.Millisecond, now)
+		q.End(a.ID, Stream{}, now)
+		q.Next(now)
+		now = now.Add(20 * time.Millisecond)
+	}
+	g.Expect(granted["e0"]).To(BeNumerically("<=", 21))
+	g.Expect(granted["e0"]).To(BeNumerically(">=", 5), "only its answers tell when the limit ends")
+	g.Expect(granted["e0"] + granted["e1"]).To(Equal(1000))
+}
+
+func TestPlainRequestsRunSideBySide(t *testing.T) {
+	g := NewWithT(t)
+	q, now := limitedQueue(3, 1, 0)
+	granted := map[string]int{}
+	for i := range 40 {
+		answer := q.Ask(plain(fmt.Sprint(i), 0), now)
+		g.Expect(answer.Verdict).To(Equal(Granted))
+		granted[answer.Engine]++
+	}
+	g.Expect(granted["e1"]).To(BeNumerically("~", granted["e2"], 1))
+	for i := range 40 {
+		q.End(fmt.Sprint(i), Stream{}, now)
+	}
+	g.Expect(q.Idle()).To(BeTrue())
+}
+
+// A server is not given up because some of its plain answers fail: others may be all there are.
+func TestAPlainServerThatFailsRequestsIsAskedLess(t *testing.T) {
+	g := NewWithT(t)
+	q, now := limitedQueue(2, 0, 0)
+	for i := range 20 {
+		answer := q.Ask(plain(fmt.Sprint(i), 0), now)
+		q.End(fmt.Sprint(i), Stream{Failed: answer.Engine == "e0"}, now)
+	}
+	g.Expect(q.engines["e0"].usable(now)).To(BeTrue())
+	granted := map[string]int{}
+	for i := range 10 {
+		granted[q.Ask(plain(fmt.Sprint("more-", i), 0), now).Engine]++
+	}
+	g.Expect(granted["e1"]).To(Equal(10))
+}
+
+// Where all limits together are less than what is asked, rank decides: nothing urgent is refused while
+// something less urgent is sent, refusals come at once and tell when to come back, and nobody waits for
+// longer than it may.
+func TestWhereAllEnginesStateARateRankDecides(t *testing.T) {
+	for _, kind := range []string{"plain", "prompt"} {
+		t.Run(kind, func(t *testing.T) {
+			g := NewWithT(t)
+			q, now := limitedQueue(3, 3, 4) // 12 a second
+			sent, refused := map[int]int{}, map[int]int{}
+			rank, arrived := map[string]int{}, map[string]time.Time{}
+			take := func(a Answer) {
+				switch a.Verdict {
+				case Granted:
+					sent[rank[a.ID]]++
+					q.FirstToken(a.ID, 10*time.Millisecond, now)
+					q.End(a.ID, Stream{}, now)
+				case Refused:
+					refused[rank[a.ID]]++
+					g.Expect(a.Limited).To(BeNumerically(">", 0))
+					g.Expect(a.Wait).To(BeNumerically(">=", shortestReturn))
+					g.Expect(now.Sub(arrived[a.ID])).To(BeNumerically("<", 2*time.Second))
+				default:
+					g.Expect(a.Verdict).To(Equal(Queued))
+				}
+			}
+			for i := range 500 { // 8 urgent and 17 others a second
+				a := plain(fmt.Sprint(i), 6)
+				if kind == "prompt" {
+					a.Plain, a.Own = false, 300
+				}
+				if i%25 < 8 {
+					a.Rank = 0
+				}
+				rank[a.ID], arrived[a.ID] = a.Rank, now
+				take(q.Ask(a, now))
+				for _, answer := range q.Next(now) {
+					take(answer)
+				}
+				now = now.Add(40 * time.Millisecond)
+			}
+			t.Logf("sent %v, refused %v", sent, refused)
+			g.Expect(refused[0]).To(BeZero())
+			g.Expect(sent[6]).To(BeNumerically(">=", 60), "what the urgent ones leave over")
+			g.Expect(sent[0] + sent[6]).To(BeNumerically("~", 12*20, 15))
+			g.Expect(refused[6]).To(BeNumerically(">", 200))
+		})
+	}
+}
+
+// A request of which nothing is heard any more does not take room for minutes.
+func TestAGrantedRequestEndsWithItsDeadline(t *testing.T) {
+	g := NewWithT(t)
+	q, now := newQueue(1)
+	q.Ask(plain("a", 0), now)
+	now = now.Add(5*time.Second + forgetAfterDeadline + time.Millisecond)
+	q.Next(now)
+	g.Expect(q.Idle()).To(BeTrue())
+}
--- a/internal/permit/place.go
+++ b/internal/permit/place.go
@@ -46,6 +46,11 @@
 	limitHarm = 10.0
 	// errorCost is what a share of failed requests of 1 counts.
 	errorCost = 2 * time.Second
+	// plainCost is what a running request counts for another at a plain server.
+	plainCost = 3 * time.Millisecond
+	// limitAskedEvery is how long a server that states a rate is left without a request where others are
+	// better, and limitAskedCost puts it before them then: only its answers tell when the limit ends.
+	limitAskedEvery, limitAskedCost = 2 * time.Second, time.Hour
 	// defaultTightest is the tightest pause that is assumed while none is known.
 	defaultTightest = 400 * time.Millisecond
 )
@@ -117,6 +122,9 @@
 		if !q.policy.NoHarm && q.harmed(s, e.ask, due, now) > allowed {
 			continue
 		}
+		if !q.limits.Take(s.engine.ID, now) {
+			continue
+		}
 		q.grant(e, s, now)
 		return true
 	}
@@ -126,7 +134,12 @@
 func (q *Queue) grant(e *entry, s site, now time.Time) {
 	e.granted, e.engine, e.unread, e.after, e.reading, e.fetch = now, s.engine, s.unread, s.after, s.reading, s.fetchFrom
 	e.lost = now.Add(lostFactor*(s.wait+s.reading) + lostMargin)
-	s.engine.begin(e, q.event(s.engine), now)
+	s.engine.granted = now
+	if e.ask.Plain {
+		s.engine.run(e, now)
+	} else {
+		s.engine.begin(e, q.event(s.engine), now)
+	}
 	q.granted[e.ask.ID] = e
 }
 
@@ -139,15 +152,29 @@
 		if !en.usable(now) || !en.hasRoom(a) || slices.Contains(a.Avoid, en.ID) {
 			continue
 		}
+		budget := q.limits.Budget(en.ID, now)
+		if budget.Wait > 0 {
+			continue
+		}
 		s := site{engine: en, wait: en.wait(now)}
-		s.cost = q.prompt(&s, a, at, now)
+		if budget.Limited && now.Sub(en.granted) > limitAskedEvery {
+			s.cost -= limitAskedCost
+		}
+		if a.Plain {
+			s.cost += plainCost * time.Duration(len(en.runs))
+		} else {
+			s.cost += q.prompt(&s, a, at, now)
+		}
 		if en.pending > 0 && s.wait > lead && s.wait+s.reading > beside && !q.policy.Together {
 			continue
 		}
 		if a.FailureDomain != "" && a.FailureDomain != en.FailureDomain {
 			s.cost += remoteCost
 		}
-		s.cost += s.wait + s.reading + q.crowding(s, beside) + time.Duration(en.errors.Share(now)*float64(errorCost))
+		s.cost += s.wait + s.reading + time.Duration(en.errors.Share(now)*float64(errorCost))
+		if !a.Plain {
+			s.cost += q.crowding(s, beside)
+		}
 		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b site) int { return cmp.Compare(a.cost, b.cost) })
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/enginemodel"
+	"github.com/merlinpost/merlinpost/internal/ratelimit"
 	"github.com/merlinpost/merlinpost/internal/rendezvous"
 )
 
@@ -38,6 +39,8 @@
 	// forgetGranted is above the longest time that a request runs; what is granted
 	// longer has ended without word.
 	forgetGranted = 2 * time.Minute
+	// forgetAfterDeadline is the same for what has a deadline, for the way of the word.
+	forgetAfterDeadline = 2 * time.Second
 	// lookAhead bounds how many waiting asks are tried when those before them can't be
 	// placed, as a very long prompt can't among streams that bear no such pause.
 	lookAhead = 16
@@ -67,6 +70,7 @@
 type Queue struct {
 	policy   Policy
 	model    *enginemodel.Service
+	limits   *ratelimit.Limiter
 	engines  map[string]*engine
 	ordered  []*engine // in order of ID
 	prefixes prefixes
@@ -80,12 +84,12 @@
 	load     loads
 	looked   time.Time // when all that waits or is granted was looked through
 	scratch  []site
-	waits    capacity // scratch, as last worked out
+	servers  capacity // scratch
 }
 
 // NewQueue returns an empty queue without engines.
-func NewQueue(model *enginemodel.Service, policy Policy) *Queue {
-	return &Queue{policy: policy, model: model, engines: map[string]*engine{}, prefixes: newPrefixes(), asked: map[string]*entry{}, granted: map[string]*entry{}}
+func NewQueue(model *enginemodel.Service, limits *ratelimit.Limiter, policy Policy) *Queue {
+	return &Queue{policy: policy, model: model, limits: limits, engines: map[string]*engine{}, prefixes: newPrefixes(), asked: map[string]*entry{}, granted: map[string]*entry{}}
 }
 
 // SetEngines tells which engines the group has now.
@@ -133,7 +137,7 @@
 // Ask takes in an ask; asking again with the same ID repeats the answer.
 func (q *Queue) Ask(a Ask, now time.Time) Answer {
 	if e := q.granted[a.ID]; e != nil {
-		return q.grantAnswer(e)
+		return q.grantAnswer(e, now)
 	}
 	if e := q.asked[a.ID]; e != nil {
 		e.heard = now
@@ -149,21 +153,21 @@
 		return Answer{ID: a.ID, Verdict: Granted}
 	}
 	q.noteGap(a.Gap, now)
-	q.load.add(a.Rank, q.model.ReadTime(a.Own, a.Shared), now)
+	q.load.add(a.Rank, q.work(a), now)
 	if !q.anyUsable(a, now) {
-		return q.answer(a.ID, NoEngine, shortestReturn)
+		return q.answer(a.ID, NoEngine, shortestReturn, now)
 	}
 	first := !slices.ContainsFunc(q.waiting, func(other *entry) bool { return q.precedes(other, e, now) })
 	if first && q.place(e, now) {
-		return q.grantAnswer(e)
+		return q.grantAnswer(e, now)
 	}
-	wait := q.wait(e, now)
-	if q.hopeless(e, wait, len(q.waits), now) {
-		return q.answer(a.ID, Refused, q.comeBack(wait, a, len(q.waits), now))
+	wait, engines := q.wait(e, now)
+	if q.hopeless(e, wait, engines, now) {
+		return q.answer(a.ID, Refused, q.comeBack(wait, a, engines, now), now)
 	}
 	q.waiting = append(q.waiting, e)
 	q.asked[a.ID] = e
-	return q.answer(a.ID, Queued, wait)
+	return q.answer(a.ID, Queued, wait, now)
 }
 
 // FirstToken tells that the engine has read the request's prompt, in the time that its
@@ -188,7 +192,10 @@
 			e.engine.learn(q.model, e, s)
 		}
 		e.engine.end(e, now)
-		if s.Failed {
+		switch {
+		case e.ask.Plain: // servers that can't be reached are named by who asks
+			e.engine.errors.Add(now, s.Failed)
+		case s.Failed:
 			e.engine.failed(now)
 		}
 		delete(q.granted, id)
@@ -234,7 +241,7 @@
 			continue
 		}
 		q.leave(i)
-		out = append(out, q.grantAnswer(e))
+		out = append(out, q.grantAnswer(e, now))
 	}
 	return out
 }
@@ -257,7 +264,7 @@
 			e.engine.settle(e, now)
 			e.engine.failed(now)
 		}
-		if now.Sub(e.granted) > forgetGranted {
+		if now.Sub(e.granted) > forgetGranted || e.ask.Deadline > 0 && now.Sub(e.arrived) > e.ask.Deadline+forgetAfterDeadline {
 			e.engine.end(e, now)
 			delete(q.granted, id)
 		}
@@ -283,7 +290,7 @@
 // reads could take a short one.
 func (q *Queue) anyRoom(now time.Time) bool {
 	beside := time.Duration(besidePart * float64(q.tightest(now)))
-	return slices.ContainsFunc(q.ordered, func(e *engine) bool { return e.usable(now) && e.wait(now) < beside })
+	return slices.ContainsFunc(q.ordered, func(e *engine) bool { return e.usable(now) && e.wait(now) < beside && !q.exhausted(e, now) })
 }
 
 // anyUsable reports whether an engine may get the ask, now or once its pause is
@@ -294,19 +301,22 @@
 	})
 }
 
-func (q *Queue) grantAnswer(e *entry) Answer {
-	a := q.answer(e.ask.ID, Granted, 0)
+func (q *Queue) grantAnswer(e *entry, now time.Time) Answer {
+	a := q.answer(e.ask.ID, Granted, 0, now)
 	a.Engine, a.FetchFrom, a.Read = e.engine.ID, e.fetch, e.reading
 	return a
 }
 
-func (q *Queue) answer(id string, v Verdict, wait time.Duration) Answer {
-	backlog := 0
+func (q *Queue) answer(id string, v Verdict, wait time.Duration, now time.Time) Answer {
+	backlog, limited, all := 0, 0, q.allLimited(now)
 	for _, en := range q.ordered {
 		backlog += en.unread
+		if b := q.limits.Budget(en.ID, now); b.Wait > 0 || all && b.Limited {
+			limited++
+		}
 	}
 	for _, e := range q.waiting {
 		backlog += e.ask.Own
 	}
-	return Answer{ID: id, Verdict: v, Wait: wait, Backlog: backlog}
+	return Answer{ID: id, Verdict: v, Wait: wait, Backlog: backlog, Limited: limited}
 }
--- a/internal/permit/queue_test.go
+++ b/internal/permit/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/merlinpost/merlinpost/internal/enginemodel"
+	"github.com/merlinpost/merlinpost/internal/ratelimit"
 )
 
 func long(id string, own int) Ask {
@@ -34,7 +36,7 @@
 func newQueue(engines int) (*Queue, time.Time) {
 	f := enginemodel.NewService().Figures()
 	f.Observed = 100 // another gateway has found that the start values are right
-	q := NewQueue(enginemodel.NewServiceFrom(f), Policy{})
+	q := NewQueue(enginemodel.NewServiceFrom(f), ratelimit.New(rand.Float64), Policy{})
 	q.SetEngines(names(engines))
 	return q, time.Unix(100, 0)
 }
@@ -44,7 +46,7 @@
 // took 85,000 tokens for ten times as long as its engines needed.
 func TestNobodyIsRefusedByStartValues(t *testing.T) {
 	g := NewWithT(t)
-	q := NewQueue(enginemodel.NewService(), Policy{})
+	q := NewQueue(enginemodel.NewService(), ratelimit.New(rand.Float64), Policy{})
 	q.SetEngines(names(1))
 	now := time.Unix(100, 0)
 	refused := func(name string) (n int) {
@@ -57,7 +59,7 @@
 	}
 	g.Expect(refused("early-")).To(BeZero())
 
-	q = NewQueue(enginemodel.NewService(), Policy{})
+	q = NewQueue(enginemodel.NewService(), ratelimit.New(rand.Float64), Policy{})
 	q.SetEngines(names(1))
 	q.Ask(long("first", 100), now)
 	q.End("first", Stream{}, now)
@@ -446,7 +448,7 @@
 	g := NewWithT(t)
 	lists := 0
 	told := func(string) (enginemodel.Figures, bool) { return enginemodel.Figures{}, false }
-	d := NewDesk[string](func(Group) []Engine { lists++; return names(1) }, told, Policy{})
+	d := NewDesk[string](func(Group) []Engine { lists++; return names(1) }, told, ratelimit.New(rand.Float64), Policy{})
 	now := time.Unix(100, 0)
 	one, two := Group{Service: "s"}, Group{Service: "s", Index: 1}
 	g.Expect(d.Ask(one, long("a", huge), "gw1", now).Verdict).To(Equal(Granted))
--- a/internal/permit/wait.go
+++ b/internal/permit/wait.go
@@ -52,68 +52,117 @@
 
 // wait is the expected time from now on until an engine begins to read the request: what
 // is ahead of it goes to whichever engine is free first.
-func (q *Queue) wait(e *entry, now time.Time) time.Duration {
+// Engines is how many engines' time there is for requests.
+func (q *Queue) wait(e *entry, now time.Time) (wait time.Duration, engines float64) {
 	var ahead time.Duration
+	count := 0
 	for _, other := range q.waiting {
 		if other != e && q.precedes(other, e, now) {
-			ahead += q.model.ReadTime(other.ask.Own, other.ask.Shared)
+			ahead += q.work(other.ask)
+			count++
 		}
 	}
-	return q.capacity(now).free(ahead)
+	c := q.capacity(mean(ahead, count, q.work(e.ask)), now)
+	return c.free(ahead), c.engines()
 }
 
-// capacity is when each engine that may be used will have read what was granted, in
-// order.
-type capacity []time.Duration
+// plainWork is what a plain request counts in an engine's time: its servers run many side by side.
+const plainWork = time.Millisecond
 
-func (q *Queue) capacity(now time.Time) capacity {
-	out := q.waits[:0]
+// work is the time of an engine that a request takes.
+func (q *Queue) work(a Ask) time.Duration {
+	if a.Plain {
+		return plainWork
+	}
+	return q.model.ReadTime(a.Own, a.Shared)
+}
+
+func mean(sum time.Duration, count int, otherwise time.Duration) time.Duration {
+	if count == 0 {
+		return otherwise
+	}
+	return sum / time.Duration(count)
+}
+
+// server is an engine that may be used: when it will have read what was granted and may take the
+// next request, and the part of its time that its stated rate leaves it for requests.
+type server struct {
+	wait  time.Duration
+	speed float64
+}
+
+// capacity are the engines that may be used, those that are free first before the others.
+type capacity []server
+
+// capacity works out when engines are free for requests that take so much of an engine's time.
+func (q *Queue) capacity(each time.Duration, now time.Time) capacity {
+	out := q.servers[:0]
 	for _, en := range q.ordered {
-		if en.usable(now) {
-			out = append(out, en.wait(now))
+		if !en.usable(now) {
+			continue
+		}
+		s := server{en.wait(now), 1}
+		if b := q.limits.Budget(en.ID, now); b.Limited {
+			s.wait, s.speed = max(s.wait, b.Wait), min(1, b.Rate*each.Seconds())
 		}
+		out = append(out, s)
 	}
-	slices.Sort(out)
-	q.waits = out
+	slices.SortFunc(out, func(a, b server) int { return cmp.Compare(a.wait, b.wait) })
+	q.servers = out
 	return out
 }
 
-// free returns when an engine is free for the next prompt once the work ahead of it is
+// engines returns how many engines' time there is.
+func (c capacity) engines() (sum float64) {
+	for _, s := range c {
+		sum += s.speed
+	}
+	return sum
+}
+
+// free returns when an engine is free for the next request once the work ahead of it is
 // taken by those that are free first.
 func (c capacity) free(ahead time.Duration) time.Duration {
-	at := time.Duration(0)
-	for i, wait := range c {
-		// i engines work on what is ahead until this one joins them.
-		work := time.Duration(i) * (wait - at)
-		if i > 0 && work >= ahead {
-			return at + ahead/time.Duration(i)
+	at, speed := time.Duration(0), 0.0
+	for _, s := range c {
+		// Those before work on what is ahead until this one joins them.
+		work := time.Duration(speed * float64(s.wait-at))
+		if speed > 0 && work >= ahead {
+			break
 		}
 		ahead -= work
-		at = wait
+		at, speed = s.wait, speed+s.speed
 		if ahead <= 0 {
 			return at
 		}
 	}
-	return at + ahead/time.Duration(max(len(c), 1))
+	if speed == 0 {
+		return at + ahead
+	}
+	return at + time.Duration(float64(ahead)/speed)
 }
 
 // refuseHopeless refuses waiting asks, which are in order, that can't be served in time
 // any more.
 func (q *Queue) refuseHopeless(now time.Time) []Answer {
 	var out []Answer
-	engines := q.capacity(now)
+	var all time.Duration
+	for _, e := range q.waiting {
+		all += q.work(e.ask)
+	}
+	engines := q.capacity(mean(all, len(q.waiting), 0), now)
 	verdict, ahead := Refused, time.Duration(0)
 	if len(engines) == 0 {
 		verdict = NoEngine
 	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry) bool {
 		wait := engines.free(ahead)
-		if !q.hopeless(e, wait, len(engines), now) {
-			ahead += q.model.ReadTime(e.ask.Own, e.ask.Shared)
+		if !q.hopeless(e, wait, engines.engines(), now) {
+			ahead += q.work(e.ask)
 			return false
 		}
 		delete(q.asked, e.ask.ID)
-		out = append(out, q.answer(e.ask.ID, verdict, q.comeBack(wait, e.ask, len(engines), now)))
+		out = append(out, q.answer(e.ask.ID, verdict, q.comeBack(wait, e.ask, engines.engines(), now), now))
 		return true
 	})
 	return out
@@ -122,7 +171,7 @@
 // hopeless reports whether a request can't be served in time if so much is ahead of it.
 // Those that will be late are served only with what those that can still be on time
 // leave over: where that is nothing, they would wait in vain.
-func (q *Queue) hopeless(e *entry, wait time.Duration, engines int, now time.Time) bool {
+func (q *Queue) hopeless(e *entry, wait time.Duration, engines float64, now time.Time) bool {
 	age := now.Sub(e.arrived)
 	if age > e.ask.Limit || q.policy.Patient || q.uninformed(now) {
 		return age > e.ask.Limit
@@ -141,22 +190,33 @@
 // refused: a gateway that had just started took a backlog for ten times as long as its engines needed,
 // and refused interactive requests in the first second (4 of 5 runs of a soak's two seeds, 0 of 6 since).
 func (q *Queue) uninformed(now time.Time) bool {
-	return now.Sub(q.begun) < startingFor && !q.model.Informed()
+	return now.Sub(q.begun) < startingFor && !q.model.Informed() && !q.allLimited(now)
 }
 
+// allLimited reports whether each engine states a rate. Waits rest on these then and on nothing learnt.
+func (q *Queue) allLimited(now time.Time) bool {
+	return !slices.ContainsFunc(q.ordered, func(e *engine) bool { return e.Open && !q.limits.Budget(e.ID, now).Limited })
+}
+
+// exhausted reports whether an engine takes nothing now by the rate that it states.
+func (q *Queue) exhausted(e *engine, now time.Time) bool { return q.limits.Budget(e.ID, now).Wait > 0 }
+
 // drained is how long the wait of a request with a rank becomes where what comes meanwhile goes first.
-func (q *Queue) drained(wait time.Duration, rank int, engines int, now time.Time) time.Duration {
-	all, left := float64(max(engines, 1)), leastLeft
-	if q.load.upTo(rank, now) < all {
+func (q *Queue) drained(wait time.Duration, rank int, engines float64, now time.Time) time.Duration {
+	if engines == 0 {
+		engines = 1
+	}
+	left := leastLeft
+	if q.load.upTo(rank, now) < engines {
 		// Equals that come meanwhile leave some over, so that only what is more urgent takes its time. Were
 		// they counted, urgent requests would be refused in a burst, and less urgent ones served after it.
-		left = 1 - q.load.upTo(rank-1, now)/all
+		left = 1 - q.load.upTo(rank-1, now)/engines
 	}
 	return time.Duration(float64(wait) / max(left, leastLeft))
 }
 
 // comeBack is when a refused caller is to ask again: when the backlog has sunk to what its
 // target bears, with what comes meanwhile.
-func (q *Queue) comeBack(wait time.Duration, a Ask, engines int, now time.Time) time.Duration {
+func (q *Queue) comeBack(wait time.Duration, a Ask, engines float64, now time.Time) time.Duration {
 	return min(max(q.drained(wait, a.Rank, engines, now)-a.Target/2, shortestReturn), longestReturn)
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -32,9 +33,12 @@
 	if s.Started == 0 {
 		return s.ID
 	}
-	return s.ID + "@" + strconv.FormatInt(s.Started, 10)
+	return s.ID + startSeparator + strconv.FormatInt(s.Started, 10)
 }
 
+// startSeparator stands between a server's ID and the time of its start.
+const startSeparator = "@"
+
 // sameStart reports whether two entries are of one start, as far as they tell.
 func (s Server) sameStart(other Server) bool {
 	return s.Started == other.Started || s.Started == 0 || other.Started == 0
@@ -223,6 +227,22 @@
 	return out[:min(most, len(out))]
 }
 
+// Find returns the entry of a start of a backend server; false if it is not listed.
+func (r *Registry) Find(start string) (Server, bool) {
+	id := start
+	if i := strings.LastIndex(start, startSeparator); i >= 0 {
+		id = start[:i]
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, id := range []string{id, start} { // a start that states no time is the ID
+		if b := r.backends[id]; b != nil && b.server().Start() == start {
+			return b.Server(), true
+		}
+	}
+	return Server{}, false
+}
+
 // Loaded reports whether a whole list has been taken in.
 func (r *Registry) Loaded() bool {
 	r.mu.RLock()
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -10,6 +10,7 @@
 	"github.com/merlinpost/merlinpost/internal/enginemodel"
 	"github.com/merlinpost/merlinpost/internal/permit"
 	"github.com/merlinpost/merlinpost/internal/placement"
+	"github.com/merlinpost/merlinpost/internal/ratelimit"
 	"github.com/merlinpost/merlinpost/internal/registry"
 )
 
@@ -142,7 +143,8 @@
 func Run(c Config) []ClassResult {
 	w := &world{Config: c, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(c.Seed, 7)),
 		engines: map[string]*engine{}}
-	w.desk = permit.NewDesk[*ask](w.list, func(string) (enginemodel.Figures, bool) { return enginemodel.Figures{}, false }, policies[c.Variant])
+	w.desk = permit.NewDesk[*ask](w.list, func(string) (enginemodel.Figures, bool) { return enginemodel.Figures{}, false },
+		ratelimit.New(w.random.Float64), policies[c.Variant])
 	var list []registry.Server
 	for i := range c.Engines {
 		id := fmt.Sprintf("e%03d", i)
