--- a/internal/standin/simfleet/simfleet.go
+++ b/internal/standin/simfleet/simfleet.go
@@ -72,11 +72,10 @@
 
 // Fleet is the deployment.
 type Fleet struct {
-	Nodes   []*Node
+	Nodes   []*Node // those of the begin
 	Servers []*Server
 	Store   *platformstore.Store
-	// Started is called with each start of a server, before it is listed; nil for nothing.
-	started func(*Server, *worker.Worker)
+	started func(*Server, *worker.Worker) // called with each start of a server
 
 	net     *memnet.Network
 	storeAt *memnet.Host
@@ -85,9 +84,10 @@
 	cancel  context.CancelFunc
 	nextID  atomic.Int64
 
-	mu   sync.Mutex
-	rnd  *rand.Rand
-	pace time.Duration
+	mu    sync.Mutex
+	rnd   *rand.Rand
+	pace  time.Duration
+	nodes []*Node // all of them
 }
 
 // Routes are the kinds of route, by name.
@@ -137,17 +137,17 @@
 		f.StartServer(s)
 	}
 	for i := range gateways {
-		f.AddNode(fmt.Sprint("edge-", i))
+		f.Nodes = append(f.Nodes, f.AddNode(fmt.Sprint("edge-", i)))
 	}
 	time.Sleep(settled)
 	return f
 }
 
-// AddNode starts a gateway on a host of its own.
+// AddNode starts a further gateway on a host of its own.
 func (f *Fleet) AddNode(name string) *Node {
 	n := &Node{Name: name, Link: f.net.Host(0)}
 	f.mu.Lock()
-	f.Nodes = append(f.Nodes, n)
+	f.nodes = append(f.nodes, n)
 	f.mu.Unlock()
 	f.StartNode(n)
 	return n
@@ -155,7 +155,7 @@
 
 // End ends everything.
 func (f *Fleet) End() {
-	for _, n := range f.Nodes {
+	for _, n := range f.nodes {
 		f.KillNode(n)
 	}
 	f.mu.Lock()
