--- a/e2e/notices_test.go
+++ b/e2e/notices_test.go
@@ -6,10 +6,12 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/merlinpost/merlinpost/internal/standin/platformstore"
 	"github.com/merlinpost/merlinpost/internal/standin/worker"
 )
 
@@ -26,6 +28,11 @@
 	leastUnnoticed          = 0.99
 	// longestRefusal is half of the time that callers wait.
 	longestRefusal = 2500 * time.Millisecond
+	// leaveWithin is the time after which nothing reaches a server that has said that it leaves.
+	leaveWithin = 2 * time.Second
+	// rest is what servers ask for with a refusal, in seconds. From restKnown after the refusal to its end
+	// a gateway may send mostInRest requests.
+	rest, restKnown, mostInRest = 4, 500 * time.Millisecond, 2
 	// knownWithin is the time within which a limit that is taken back is known.
 	knownWithin = 3 * time.Second
 )
@@ -86,7 +93,7 @@
 }
 
 func (s *speakers) askOne(g *gatewayProc) {
-	id := fmt.Sprintf("%s-%d", s.route, s.rnd.Uint64())
+	id := fmt.Sprintf("%s/%s/%d", g.host, s.route, s.rnd.Uint64())
 	at := time.Now()
 	s.asked.Go(func() {
 		a := s.ask(context.Background(), g, s.route, id)
@@ -287,3 +294,140 @@
 		})
 	}
 }
+
+// What the operators saw: with the store silent, a backend server that had said in its answers that it
+// leaves went on getting requests from hosts that had passed these answers on.
+func TestAServerThatSaysItLeavesGetsNoMore(t *testing.T) {
+	play := func(name, route string, servers int, meanwhile func(s *speakers), served bool) {
+		t.Run(name+"/"+route, func(t *testing.T) {
+			t.Parallel()
+			s := startSpeakers(t, route, servers, 5)
+			s.askFor(time.Second)
+			meanwhile(s)
+			w := s.busiest()
+			w.Say("Server-Leaving: 1", "Connection: close")
+			said := time.Now()
+			s.askFor(leaveWithin + 3*time.Second)
+			s.checkLeft(w, said)
+			if served {
+				s.checkServed()
+			} else {
+				s.checkRefusals()
+			}
+		})
+	}
+	for route := range servedRoutes {
+		play("listed as ready", route, 4, func(*speakers) {}, true)
+	}
+	for _, route := range []string{"post", "report"} {
+		play("store silent", route, 4, func(s *speakers) { s.store.SetMode(platformstore.Silent) }, true)
+		play("no other", route, 1, func(*speakers) {}, false)
+	}
+}
+
+// checkLeft checks that nothing has reached a server later than leaveWithin after it said that it leaves
+// and each gateway has been told.
+func (s *speakers) checkLeft(w *worker.Worker, said time.Time) {
+	s.t.Helper()
+	late := 0
+	for _, a := range w.Arrivals() {
+		if a.At.After(said.Add(leaveWithin)) {
+			late++
+		}
+	}
+	s.t.Logf("%s: %d requests reached %s later than %s after it said that it leaves", s.route, late, w.ID, leaveWithin)
+	if late > 0 {
+		s.t.Errorf("%s: %d requests reached %s later than %s after it said that it leaves", s.route, late, w.ID, leaveWithin)
+	}
+}
+
+// Another start at the address of a server that has left serves at once.
+func TestTheNextStartOfAServerThatLeftServesAtOnce(t *testing.T) {
+	s := startSpeakers(t, "list", 1, 6)
+	old := s.servers[0]
+	old.Say("Server-Leaving: 1")
+	s.askFor(500 * time.Millisecond)
+	s.asked.Wait()
+	old.Close()
+	next, err := worker.StartAt(old.ID, old.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(next.Close)
+	next.Born = old.Born + 1
+	if err := s.register(next, appService, "ready"); err != nil {
+		t.Fatal(err)
+	}
+	s.askFor(time.Second) // until the list is read
+	s.asked.Wait()
+	s.mu.Lock()
+	s.answers = nil
+	s.mu.Unlock()
+	s.askFor(500 * time.Millisecond)
+	s.checkServed()
+}
+
+// What servers that turn requests away with a time to come back saw: the same gateway sent them more
+// within that time, where all of them rest.
+func TestAServerThatWantsNothingForAWhileIsLeftAlone(t *testing.T) {
+	for route := range servedRoutes {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			s := startSpeakers(t, route, 4, 7)
+			s.askFor(time.Second)
+			for _, w := range s.servers {
+				w.Behave(worker.Behaviour{Refuse: true, RetryAfter: fmt.Sprint(rest)})
+			}
+			refusing := time.Now()
+			s.askFor(time.Second)
+			for _, w := range s.servers {
+				if b := wholeStream; servedRoutes[route] == llmService {
+					w.Behave(b)
+				} else {
+					w.Behave(worker.Behaviour{BreakAfter: -1})
+				}
+			}
+			s.askFor(rest*time.Second + time.Second)
+			s.checkRests(refusing, refusing.Add(time.Second))
+			s.checkRefusals()
+			s.mu.Lock()
+			s.answers = nil
+			s.mu.Unlock()
+			s.askFor(time.Second)
+			s.checkServed()
+		})
+	}
+}
+
+// sender returns the gateway at which a request came.
+func sender(id string) string {
+	host, _, _ := strings.Cut(id, "/")
+	return host
+}
+
+// checkRests checks that no gateway sent a server more than mostInRest requests in a rest that it asked
+// for between two times.
+func (s *speakers) checkRests(from, to time.Time) {
+	s.t.Helper()
+	worst := 0
+	for _, w := range s.servers {
+		arrivals := w.Arrivals()
+		for _, first := range arrivals {
+			if first.At.Before(from) || first.At.After(to) {
+				continue
+			}
+			n := 0
+			for _, a := range arrivals {
+				since := a.At.Sub(first.At)
+				if sender(a.ID) == sender(first.ID) && since > restKnown && since < rest*time.Second {
+					n++
+				}
+			}
+			worst = max(worst, n)
+		}
+	}
+	s.t.Logf("%s: at most %d requests of one gateway in a rest, allowed %d", s.route, worst, mostInRest)
+	if worst > mostInRest {
+		s.t.Errorf("%s: %d requests of one gateway in a rest, allowed %d", s.route, worst, mostInRest)
+	}
+}
