Send nothing to a server that says in its answers that it leaves

What callers saw: nothing.

Ruled out: that only the one who decides for engines does not hear it, as plain routes fail alike; that it is taken for load, as sends go on at the same pace.

Now the word counts as the list does, from the head of the answer on, for what is sent first, again, goes on elsewhere or has waited for leave; the others are told and do the same. Why it holds: all sends take their server from one list of candidates, which leaves out who leaves, and it is made anew when leave was given. What waits while all servers leave is refused at once. The end of such a server is no evidence against what ran there.

The next start of a server that left serves at once.

--- a/e2e/notices_test.go
+++ b/e2e/notices_test.go
@@ -296,7 +296,11 @@
 }
 
 // What the operators saw: with the store silent, a backend server that had said in its answers that it
-// leaves went on getting requests from hosts that had passed these answers on.
+// leaves went on getting requests from hosts that had passed these answers on. Order: the store falls
+// silent; the server can't enter that it leaves, and says so in its answers; gateways pass these on and
+// choose it again. Cause: the list alone decided who leaves. Evidence: decision lines of such sends name
+// the server as chosen with a list that is seconds old, right after a line in which it said that it
+// leaves; the same where the store is sound and the list says ready, on each kind of route.
 func TestAServerThatSaysItLeavesGetsNoMore(t *testing.T) {
 	play := func(name, route string, servers int, meanwhile func(s *speakers), served bool) {
 		t.Run(name+"/"+route, func(t *testing.T) {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -179,7 +179,7 @@
 		return g.acquire(ctx, q, tried, t, rel)
 	}
 	candidates := g.candidates(q.service, tried)
-	q.noteStanding(g, candidates)
+	g.noteStanding(q)
 	c, err := g.place(q, candidates)
 	return c, peers.Leave{}, err
 }
@@ -214,18 +214,25 @@
 	}
 }
 
-// candidates are the servers of a service that may get work now.
+// candidates are the servers of a service that may get work now. The list is not all that counts: it
+// is as old as the store is silent, while a server says in its answers that it leaves.
 func (g *Gateway) candidates(service string, tried map[string]bool) []placement.Candidate {
 	now := g.now()
 	backends := g.servers.Ready(service)
-	out := make([]placement.Candidate, len(backends))
-	for i, b := range backends {
+	out := make([]placement.Candidate, 0, len(backends))
+	for _, b := range backends {
 		s := b.Server()
-		out[i] = placement.Candidate{Backend: b, Server: s, View: b.View(now), Tried: tried[s.Start()]}
+		if !g.notices.Draining(s.Start()) {
+			out = append(out, placement.Candidate{Backend: b, Server: s, View: b.View(now), Tried: tried[s.Start()]})
+		}
 	}
 	return out
 }
 
+// groups returns the number of groups of a service's servers: those that are listed, as all gateways
+// have one list.
+func (g *Gateway) groups(service string) int { return placement.Groups(len(g.servers.Ready(service))) }
+
 func (g *Gateway) placementRequest(q *request) placement.Request {
 	return placement.Request{Prompt: q.call.Prompt, Key: q.call.ID,
 		FailureDomain: g.settings.Load().FailureDomain, Draw: g.draw()}
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -42,6 +42,9 @@
 // brokeAt takes in that the connection broke on which a server ran the request, and reports
 // whether the server is known to have ended.
 func (g *Gateway) brokeAt(q *request, server registry.Server, end quarantine.End) bool {
+	if g.notices.Draining(server.Start()) {
+		return false // it ends as it said
+	}
 	check := g.checkEnd(server)
 	<-check.done
 	if check.ended {
@@ -111,6 +114,9 @@
 // startEnded takes in that the list, or another server at the address, tells that a start of a
 // server has ended. The host of a server that went with it does not refuse connections.
 func (g *Gateway) startEnded(start string) {
+	if g.notices.Draining(start) {
+		return // it drained, whether the list said so or not
+	}
 	now := g.now()
 	g.ledger.ServerEnded(start, now)
 	g.ends.mu.Lock()
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -65,19 +65,22 @@
 	return false
 }
 
-// maxStanding bounds the servers of which a decision line tells what was known.
+// maxStanding bounds the notices that a decision line shows.
 const maxStanding = 4
 
-// noteStanding keeps what is known of the candidates for the decision line.
-func (q *request) noteStanding(g *Gateway, candidates []placement.Candidate) {
+// noteStanding keeps what the service's servers have said of themselves for the decision line.
+func (g *Gateway) noteStanding(q *request) {
 	if g.notices.Empty() {
 		return
 	}
 	now := g.now()
 	q.standing = q.standing[:0]
-	for _, c := range candidates {
-		if s := g.notices.Standing(c.Server.Start(), now); s != nil && len(q.standing) < maxStanding {
-			q.standing = append(q.standing, *s)
+	for _, b := range g.servers.Ready(q.service) {
+		server := b.Server()
+		for _, s := range g.notices.Standing(server.Start(), now) {
+			if len(q.standing) < maxStanding {
+				q.standing = append(q.standing, s)
+			}
 		}
 	}
 }
@@ -101,8 +104,7 @@
 	out := map[permit.Group][]string{}
 	for _, start := range g.notices.Limits().Servers() {
 		if server, listed := g.servers.Find(start); listed {
-			group := permit.Group{Service: server.Service,
-				Index: placement.GroupOf(server.ID, placement.Groups(len(g.servers.Ready(server.Service))))}
+			group := permit.Group{Service: server.Service, Index: placement.GroupOf(server.ID, g.groups(server.Service))}
 			out[group] = append(out[group], start)
 		}
 	}
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"strconv"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/permit"
+	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/internal/standin/worker"
 )
 
 var _ = Describe("a server that states a rate in its answers", func() {
@@ -79,7 +83,7 @@
 		Expect(ask(r, "/once/", 3)).To(Equal(map[int]int{200: 2, 429: 1}))
 		Expect(r.log.String()).To(ContainSubstring(`"msg":"backend server's notice","server":"i-0","kind":"rate_limit","change":"stated","limit":0.2`))
 		Expect(r.log.String()).To(ContainSubstring(`"said":{"limited":true,"limit":0.2}`))
-		Expect(r.log.String()).To(MatchRegexp(`"request failed".*"notices":\[\{"server":"i-0","limit":0.2,"age":\d+\}`))
+		Expect(r.log.String()).To(MatchRegexp(`"request failed".*"notices":\[\{"server":"i-0","kind":"rate_limit","limit":0.2,"age":\d+\}`))
 	})
 
 	It("leaves what was known where it can't be read", func() {
@@ -90,3 +94,79 @@
 		Expect(ask(r, "/once/", 3)).To(Equal(map[int]int{429: 3}))
 	})
 })
+
+var _ = Describe("a server that says in its answers that it leaves", func() {
+	DescribeTable("gets nothing more, though it is listed as ready", func(path string) {
+		r := started(2)
+		r.workers[0].Say("Server-Leaving: 1")
+		for i := range 20 {
+			Expect(r.post(path, fmt.Sprint("a", i)).status).To(Equal(200))
+		}
+		Expect(r.workers[0].Asked()).To(BeNumerically("<=", 1))
+	},
+		Entry("plain requests", "/once/"),
+		Entry("plain requests that may be repeated", "/again/"),
+		Entry("prompts", "/stream/"),
+		Entry("prompts of streams that may go on elsewhere", "/resume/"),
+	)
+
+	It("is heard with the head of a stream, which ends whole", func() {
+		r := started(1)
+		r.workers[0].Behave(worker.Behaviour{Events: 20, BreakAfter: -1, Pace: 20 * time.Millisecond})
+		r.workers[0].Say("Server-Leaving: 1")
+		whole := make(chan answer, 1)
+		go func() { whole <- r.post("/stream/", "a") }()
+		Eventually(func() string { return r.log.String() }).Should(ContainSubstring(`"kind":"draining","change":"stated"`))
+		Expect(whole).NotTo(Receive())
+		Expect(r.post("/stream/", "b").status).To(Equal(503))
+		var a answer
+		Eventually(whole).Should(Receive(&a))
+		Expect(a.body).To(Equal(worker.Stream("a", 20)))
+	})
+
+	It("has requests refused at once, with when to come back, where there is no other", func() {
+		r := started(1)
+		r.workers[0].Say("Server-Leaving: 1")
+		Expect(r.post("/once/", "a").status).To(Equal(200))
+		refused := r.post("/once/", "b")
+		Expect(refused.status).To(Equal(503))
+		Expect(refused.body).To(ContainSubstring("not_run"))
+		Expect(strconv.ParseFloat(refused.header.Get("Retry-After"), 64)).To(BeNumerically(">", 0))
+		Expect(r.log.String()).To(MatchRegexp(`"request failed".*"notices":\[\{"server":"i-0","kind":"draining","age":\d+\}`))
+	})
+
+	It("is not granted to what has waited for leave meanwhile", func() {
+		r := started(2)
+		d := &decider{answers: []permit.Answer{{Verdict: permit.Granted, Engine: "i-0"}, {Verdict: permit.Granted, Engine: "i-1"}}}
+		d.during = func() {
+			r.gateway.Notices().Told(notice.Told{Server: "i-0", Draining: true}, "edge-b", time.Now())
+		}
+		r.gateway.UsePeers(d)
+		Expect(r.post("/stream/", "a").status).To(Equal(200))
+		Expect(r.workers[0].Asked()).To(BeZero())
+		Expect(d.asked()[1].Avoid).To(Equal([]string{"i-0"}))
+	})
+
+	It("still holds parts of prompts that others may fetch", func() {
+		r := started(2)
+		r.gateway.Notices().Told(notice.Told{Server: "i-0", Draining: true}, "edge-b", time.Now())
+		open := map[string]bool{}
+		for _, e := range r.gateway.Engines(permit.Group{Service: "s"}) {
+			open[e.ID] = e.Open
+		}
+		Expect(open).To(Equal(map[string]bool{"i-0": false, "i-1": true}))
+	})
+
+	It("serves again as another start", func() {
+		r := started(1)
+		entry := registry.Server{ID: "i-0", Service: "s", Address: r.workers[0].Address(), Slots: 8, Started: 1}
+		r.servers.Replace([]registry.Server{entry}, time.Now(), time.Time{})
+		r.workers[0].Say("Server-Leaving: 1")
+		Expect(r.post("/once/", "a").status).To(Equal(200))
+		Expect(r.post("/once/", "b").status).To(Equal(503))
+		r.workers[0].Say()
+		entry.Started = 2
+		r.servers.Replace([]registry.Server{entry}, time.Now(), time.Time{})
+		Expect(r.post("/once/", "c").status).To(Equal(200))
+	})
+})
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -54,17 +54,16 @@
 // Engines lists the members of a group of engines as this gateway knows them. That this
 // gateway can't reach one says nothing for the others, who tell which engines failed them.
 func (g *Gateway) Engines(group permit.Group) []permit.Engine {
-	candidates := g.candidates(group.Service, nil)
 	var facts routing.Engine
 	if t := g.table.Load(); t != nil {
 		facts = t.Engine(group.Service)
 	}
-	groups := placement.Groups(len(candidates))
+	groups := g.groups(group.Service)
 	var out []permit.Engine
-	for _, c := range candidates {
-		if placement.GroupOf(c.Server.ID, groups) == group.Index {
-			out = append(out, permit.Engine{ID: c.Server.Start(), FailureDomain: c.Server.FailureDomain, Open: true,
-				Slots: c.Server.Slots, Memory: facts.Memory, EventTokens: facts.EventTokens})
+	for _, b := range g.servers.Ready(group.Service) {
+		if s := b.Server(); placement.GroupOf(s.ID, groups) == group.Index {
+			out = append(out, permit.Engine{ID: s.Start(), FailureDomain: s.FailureDomain, Open: !g.notices.Draining(s.Start()),
+				Slots: s.Slots, Memory: facts.Memory, EventTokens: facts.EventTokens})
 		}
 	}
 	return out
@@ -88,13 +87,13 @@
 	if part == "" {
 		part = q.call.ID
 	}
-	groups := placement.GroupsFor(part, placement.Groups(len(candidates)))
+	groups := placement.GroupsFor(part, g.groups(q.service))
 	asked := g.ask(q, rel)
 	// A strong suspect loses the precedence of broken streams, with which one that may be resumed
 	// ended a server after the other ahead of everybody's questions.
 	asked.Begun = asked.Begun && !t.apart
 	asked.Avoid = avoided(candidates)
-	q.noteStanding(g, candidates)
+	g.noteStanding(q)
 	var refused permit.Answer
 	for ask, group := 0, 0; ask < maxAsks && group < min(maxGroups, len(groups)); ask++ {
 		asked.ID = fmt.Sprintf("%s/%d", q.call.ID, q.asks)
--- a/internal/notice/board.go
+++ b/internal/notice/board.go
@@ -30,12 +30,16 @@
 
 // state is what is known of one start of a server.
 type state struct {
-	limited bool
-	limit   float64
+	// draining is never taken back: a start that leaves does not stay. It holds since leftAt.
+	draining bool
+	leftAt   time.Time
+	leftFrom string // who told of it, empty where it was heard here
+	limited  bool
+	limit    float64
 	// stated is when the limit was last stated, cleared the newest moment of which it is known that
 	// none was.
 	stated, cleared time.Time
-	from            string // who told of it last, empty where it was heard here
+	from            string // who told of the limit last
 	tells           tells
 	listed          time.Time // when the server was last seen on the list, or this state began
 }
@@ -69,10 +73,13 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(server, said.Limited, now)
+	s := b.state(server, said.Limited || said.Draining, now)
 	if s == nil {
 		return
 	}
+	if said.Draining {
+		b.setDraining(server, s, now, "", now)
+	}
 	newer := sent.After(s.stated)
 	switch {
 	case said.Limited && (!s.limited || said.Limit <= s.limit || newer):
@@ -93,6 +100,25 @@
 	return s
 }
 
+func (b *Board) setDraining(server string, s *state, at time.Time, from string, now time.Time) {
+	if s.draining {
+		return
+	}
+	s.draining, s.leftAt, s.leftFrom = true, at, from
+	b.changed(s, Event{Server: server, Kind: Draining, From: from}, now)
+}
+
+// Draining reports whether a server is known to leave.
+func (b *Board) Draining(server string) bool {
+	if b.Empty() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[server]
+	return s != nil && s.draining
+}
+
 func (b *Board) setLimit(server string, s *state, limit float64, stated time.Time, from string, now time.Time) {
 	changed := !s.limited || s.limit != limit
 	s.limited, s.limit, s.stated, s.from = true, limit, stated, from
@@ -122,29 +148,39 @@
 	}
 }
 
-// Standing is what is known of a server, as decision lines show it.
+// Standing is a notice that is in force, as decision lines show it.
 type Standing struct {
 	Server string        `json:"server"`
-	Limit  *float64      `json:"limit,omitempty"` // requests a second, nil for no limit
-	Age    time.Duration `json:"age"`             // since it was stated last
+	Kind   Kind          `json:"kind"`
+	Limit  *float64      `json:"limit,omitempty"` // requests a second, of a rate limit
+	Age    time.Duration `json:"age"`             // since it was said last, as far as is known
 	From   string        `json:"from,omitempty"`  // the gateway that told, empty where it was heard here
 }
 
-// Standing returns what is known of a server, nil for nothing.
-func (b *Board) Standing(server string, now time.Time) *Standing {
+// Standing returns what is known of a server.
+func (b *Board) Standing(server string, now time.Time) (out []Standing) {
 	if b.Empty() {
 		return nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.servers[server]
-	if s == nil || !s.limited {
+	if s == nil {
 		return nil
 	}
-	limit := s.limit
-	return &Standing{Server: server, Limit: &limit, Age: now.Sub(s.stated), From: s.from}
+	if s.draining {
+		out = append(out, Standing{Server: server, Kind: Draining, Age: now.Sub(s.leftAt), From: s.leftFrom})
+	}
+	if s.limited {
+		limit := s.limit
+		out = append(out, Standing{Server: server, Kind: RateLimit, Limit: &limit, Age: now.Sub(s.stated), From: s.from})
+	}
+	return out
 }
 
+// inForce reports whether anything holds that others are to know.
+func (s *state) inForce() bool { return s.draining || s.limited }
+
 // Sweep forgets servers that have not been listed for a while.
 func (b *Board) Sweep(listed func(server string) bool, now time.Time) {
 	if b.Empty() {
@@ -156,7 +192,7 @@
 		if listed(server) {
 			s.listed = now
 		}
-		if now.Sub(s.listed) > keepUnlisted || !s.limited && now.Sub(s.cleared) > keepUnlisted {
+		if now.Sub(s.listed) > keepUnlisted || !s.inForce() && now.Sub(s.cleared) > keepUnlisted {
 			b.limits.Remove(server)
 			delete(b.servers, server)
 		}
--- a/internal/notice/board_test.go
+++ b/internal/notice/board_test.go
@@ -36,7 +36,7 @@
 	b.Heard(server, Said{}, at(0), at(10))
 	g.Expect(b.Empty()).To(BeTrue())
 	g.Expect(b.Due(at(10))).To(BeEmpty())
-	g.Expect(b.Standing(server, at(10))).To(BeNil())
+	g.Expect(b.Standing(server, at(10))).To(BeEmpty())
 }
 
 func TestALimitEndsWithAnAnswerThatDoesNotStateIt(t *testing.T) {
@@ -44,7 +44,7 @@
 	b := newBoard()
 	b.Heard(server, limit(4), at(0), at(100))
 	g.Expect(b.rate(100)).To(Equal(4.0))
-	g.Expect(b.Standing(server, at(300)).Age).To(Equal(200 * time.Millisecond))
+	g.Expect(b.Standing(server, at(300))[0].Age).To(Equal(200 * time.Millisecond))
 
 	b.Heard(server, Said{}, at(50), at(150)) // was sent before the limit was heard: it may be older
 	g.Expect(b.rate(150)).To(Equal(4.0))
@@ -87,7 +87,7 @@
 	a.Heard(server, limit(1), at(0), at(100))
 	b.Told(a.Due(at(100))[0], "edge-a", at(105))
 	g.Expect(b.rate(105)).To(Equal(1.0))
-	g.Expect(b.Standing(server, at(205)).From).To(Equal("edge-a"))
+	g.Expect(b.Standing(server, at(205))[0].From).To(Equal("edge-a"))
 	g.Expect(b.Due(at(1000))).To(BeEmpty(), "what was told is not told on")
 
 	b.Heard(server, Said{}, at(1000), at(1050)) // b hears that it has ended
@@ -126,3 +126,31 @@
 	g.Expect(b.limits.Limited(server)).To(BeFalse())
 	g.Expect(b.Empty()).To(BeTrue())
 }
+
+func TestAServerThatLeavesIsToldOfAndDoesNotStay(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newBoard(), newBoard()
+	a.Heard(server, Said{Draining: true}, at(0), at(100))
+	a.Heard(server, Said{}, at(150), at(200)) // an answer that was under way
+	g.Expect(a.Draining(server)).To(BeTrue())
+	told := a.Due(at(300))
+	g.Expect(told).To(HaveLen(1))
+	b.Told(told[0], "edge-a", at(310))
+	g.Expect(b.Draining(server)).To(BeTrue())
+	g.Expect(b.Standing(server, at(310))).To(Equal([]Standing{{Server: server, Kind: Draining, Age: 200 * time.Millisecond, From: "edge-a"}}))
+	g.Expect(b.limits.Limited(server)).To(BeFalse())
+	g.Expect(b.Draining("i-1@1765000000001")).To(BeFalse(), "another start")
+	b.Sweep(func(string) bool { return true }, at(10_000_000))
+	g.Expect(b.Draining(server)).To(BeTrue(), "as long as it is listed")
+}
+
+// A word that a server leaves says nothing of its limit.
+func TestLeavingEndsNoLimit(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newBoard(), newBoard()
+	b.Heard(server, limit(4), at(0), at(100))
+	a.Heard(server, Said{Draining: true}, at(200), at(300))
+	b.Told(a.Due(at(300))[0], "edge-a", at(310))
+	g.Expect(b.limits.Limited(server)).To(BeTrue())
+	g.Expect(b.Draining(server)).To(BeTrue())
+}
--- a/internal/notice/told.go
+++ b/internal/notice/told.go
@@ -5,10 +5,13 @@
 // Told is what a gateway tells the others of a server.
 type Told struct {
 	Server string `msgpack:"s"`
+	// Draining is whether the server leaves, LeftMs how long ago that was known.
+	Draining bool  `msgpack:"d,omitempty"`
+	LeftMs   int64 `msgpack:"t,omitempty"`
 	// Limited is whether the server states a limit, Limit its requests a second.
 	Limited bool    `msgpack:"l,omitempty"`
 	Limit   float64 `msgpack:"r,omitempty"`
-	// AgeMs is how long ago that was known.
+	// AgeMs is how long ago that was known, 0 if nothing was ever stated.
 	AgeMs int64 `msgpack:"a,omitempty"`
 }
 
@@ -47,7 +50,7 @@
 
 // All returns what is known of all servers, for a gateway that has just started.
 func (b *Board) All(now time.Time) []Told {
-	return b.collect(now, func(s *state) bool { return s.limited })
+	return b.collect(now, (*state).inForce)
 }
 
 // Of returns what is known of one server.
@@ -81,7 +84,14 @@
 	if !s.limited {
 		at = s.cleared
 	}
-	return Told{Server: server, Limited: s.limited, Limit: s.limit, AgeMs: now.Sub(at).Milliseconds()}
+	told := Told{Server: server, Limited: s.limited, Limit: s.limit}
+	if !at.IsZero() {
+		told.AgeMs = max(now.Sub(at).Milliseconds(), 1)
+	}
+	if s.draining {
+		told.Draining, told.LeftMs = true, now.Sub(s.leftAt).Milliseconds()
+	}
+	return told
 }
 
 // Told takes in what another gateway tells. Where this one knows better, it returns that, for the
@@ -89,10 +99,13 @@
 func (b *Board) Told(told Told, from string, now time.Time) (better *Told) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(told.Server, told.Limited, now)
+	s := b.state(told.Server, told.Limited || told.Draining, now)
 	if s == nil {
 		return nil
 	}
+	if told.Draining {
+		b.setDraining(told.Server, s, now.Add(-time.Duration(told.LeftMs)*time.Millisecond), from, now)
+	}
 	at := now.Add(-time.Duration(told.AgeMs) * time.Millisecond)
 	switch {
 	case told.Limited && at.Before(s.cleared):
@@ -100,7 +113,7 @@
 		return &known
 	case told.Limited && (!s.limited || at.After(s.stated)):
 		b.setLimit(told.Server, s, told.Limit, at, from, now)
-	case !told.Limited && s.limited && at.After(s.stated):
+	case !told.Limited && told.AgeMs > 0 && s.limited && at.After(s.stated):
 		b.clearLimit(told.Server, s, at, from, now)
 	}
 	return nil
--- a/internal/permit/limits_test.go
+++ b/internal/permit/limits_test.go
@@ -133,3 +133,19 @@
 	q.Next(now)
 	g.Expect(q.Idle()).To(BeTrue())
 }
+
+// Nobody waits for engines that all leave.
+func TestWhatWaitsIsToldAtOnceWhenAllEnginesLeave(t *testing.T) {
+	g := NewWithT(t)
+	q, now := newQueue(1)
+	q.Ask(long("running", huge), now)
+	g.Expect(q.Ask(long("waiting", huge), now).Verdict).To(Equal(Queued))
+	leaving := names(1)
+	leaving[0].Open = false
+	q.SetEngines(leaving)
+	now = now.Add(lookEvery)
+	due := q.Next(now)
+	g.Expect(due).To(HaveLen(1))
+	g.Expect(due[0].Verdict).To(Equal(NoEngine))
+	g.Expect(q.Ask(long("later", huge), now).Verdict).To(Equal(NoEngine))
+}
--- a/internal/permit/wait.go
+++ b/internal/permit/wait.go
@@ -155,9 +155,10 @@
 	if len(engines) == 0 {
 		verdict = NoEngine
 	}
+	allLeave := !slices.ContainsFunc(q.ordered, func(e *engine) bool { return e.Open })
 	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry) bool {
 		wait := engines.free(ahead)
-		if !q.hopeless(e, wait, engines.engines(), now) {
+		if !allLeave && !q.hopeless(e, wait, engines.engines(), now) {
 			ahead += q.work(e.ask)
 			return false
 		}
