--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"time"
@@ -12,8 +14,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/merlinpost/merlinpost/internal/gateway"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/standin/worker"
+	"github.com/merlinpost/merlinpost/platform"
 )
 
 var _ = Describe("a gateway", func() {
@@ -288,3 +292,23 @@
 		Expect(r.runs()).To(HaveLen(1))
 	})
 })
+
+// broken is a dialect that fails.
+type broken struct{ platform.Dialect }
+
+func (broken) Call(http.Header) (gateway.Call, error) { panic("out of order") }
+
+var _ = Describe("a handler that fails", func() {
+	It("ends the connection and leaves a line", func() {
+		var log lines
+		g := gateway.New(gateway.Settings{}, broken{}, registry.New(), slog.New(slog.NewJSONHandler(&log, nil)))
+		g.SetTable(table(), time.Now())
+		server := httptest.NewUnstartedServer(g)
+		server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+		server.Start()
+		DeferCleanup(server.Close)
+		_, err := http.Post(server.URL, "text/plain", strings.NewReader("x"))
+		Expect(err).To(HaveOccurred())
+		Expect(log.String()).To(ContainSubstring(`"request handler failed","failure":"out of order"`))
+	})
+})
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -95,6 +95,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer g.logFailed()
 	if closeAfter(r) || g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/notice/days_test.go
+++ b/internal/notice/days_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,6 +30,10 @@
 	window = 4 * time.Second
 	// longestRefusal is half of the time that callers wait.
 	longestRefusal = 2500 * time.Millisecond
+	// leaveWithin is the time after which a gateway that was told that a server leaves sends it nothing.
+	leaveWithin = 2 * time.Second
+	// From restKnown after a refusal with a rest to the end of that, a gateway may send mostInRest requests.
+	restKnown, mostInRest = 500 * time.Millisecond, 2
 )
 
 // day is a drawn day of servers that state rates, and of what happens to gateways meanwhile.
@@ -39,7 +44,14 @@
 	// limited servers state the rate from limitAt on, and no longer from liftAt on.
 	limited         int
 	limitAt, liftAt time.Duration
-	every           time.Duration // between two requests
+	// leaving servers say from leaveAt on that they leave, while the list calls them ready; 0 for none.
+	leaving int
+	leaveAt time.Duration
+	// resting servers turn requests away for refuseFor from refuseAt on and want nothing for rest; 0 for none.
+	resting             int
+	refuseAt, refuseFor time.Duration
+	rest                time.Duration
+	every               time.Duration // between two requests
 	// uneven callers all come to one gateway.
 	uneven bool
 	faults []fault
@@ -64,6 +76,13 @@
 		limitAt: ms(500, 3000, "limit at"), liftAt: ms(9000, 20000, "lift at"),
 		every: ms(4, 60, "every"), uneven: rapid.Bool().Draw(t, "uneven")}
 	d.limited = rapid.IntRange(1, d.servers).Draw(t, "limited")
+	if rapid.Bool().Draw(t, "leave") {
+		d.leaving, d.leaveAt = rapid.IntRange(1, d.servers).Draw(t, "leaving"), ms(500, 9000, "leave at")
+	}
+	if rapid.Bool().Draw(t, "rest") {
+		d.resting, d.refuseAt, d.refuseFor = rapid.IntRange(1, d.servers).Draw(t, "resting"), ms(500, 9000, "refuse at"), ms(50, 2000, "refuse for")
+		d.rest = ms(1000, 6000, "rest for")
+	}
 	for range rapid.IntRange(0, 4).Draw(t, "faults") {
 		d.faults = append(d.faults, fault{ms(500, 12000, "at"), ms(200, 8000, "lasts"), rapid.SampledFrom(faultKinds).Draw(t, "kind"),
 			rapid.IntRange(0, d.gateways-1).Draw(t, "node")})
@@ -79,6 +98,7 @@
 
 	mu      sync.Mutex
 	replies map[string]simfleet.Reply
+	asked   map[string]time.Time
 }
 
 // ask sends requests at a pace.
@@ -91,11 +111,12 @@
 			n = p.Nodes[0]
 		}
 		if n.Gateway().Ready() { // as the balancer sees it
-			id := fmt.Sprintf("%s-%d", p.route, i)
+			id := fmt.Sprintf("%s/%s-%d", n.Name, p.route, i)
 			asked.Go(func() {
+				at := time.Now()
 				r := p.Ask(n, p.route, id, "body of "+id)
 				p.mu.Lock()
-				p.replies[id] = r
+				p.replies[id], p.asked[id] = r, at
 				p.mu.Unlock()
 			})
 		}
@@ -104,18 +125,37 @@
 	asked.Wait()
 }
 
-// speak has servers state the rate for a while.
+// speak has servers say of themselves what the day has them say.
 func (p *played) speak() {
-	p.Pause(p.limitAt)
-	for _, s := range p.Servers[:p.limited] {
-		p.Running(s).Say("Server-Limit: " + strconv.FormatFloat(p.rate, 'g', -1, 64))
-	}
-	p.Pause(p.liftAt - p.limitAt)
-	for _, s := range p.Servers[:p.limited] {
-		p.Running(s).Say()
+	step := 10 * time.Millisecond
+	refusing := false
+	for now := time.Duration(0); now < dayLength; now += step {
+		for i, s := range p.Servers {
+			var lines []string
+			if i < p.limited && now >= p.limitAt && now < p.liftAt {
+				lines = append(lines, "Server-Limit: "+strconv.FormatFloat(p.rate, 'g', -1, 64))
+			}
+			if p.leaves(i) && now >= p.leaveAt {
+				lines = append(lines, "Server-Leaving: 1")
+			}
+			p.Running(s).Say(lines...)
+		}
+		if refuse := now >= p.refuseAt && now < p.refuseAt+p.refuseFor; p.resting > 0 && refuse != refusing {
+			refusing = refuse
+			p.SetPace(0)
+			for _, s := range p.Servers[:p.resting] {
+				if refuse {
+					p.Running(s).Behave(worker.Behaviour{Refuse: true, RetryAfter: strconv.FormatFloat(p.rest.Seconds(), 'f', 3, 64)})
+				}
+			}
+		}
+		p.Pause(step)
 	}
 }
 
+// leaves reports whether a server leaves: those at the end of the list do.
+func (p *played) leaves(i int) bool { return i >= p.servers-p.leaving }
+
 // suffer plays one fault.
 func (p *played) suffer(f fault) {
 	p.Pause(f.at)
@@ -177,8 +217,82 @@
 	return most
 }
 
+// perGateway returns the arrivals at a server by the gateway that sent them, without gateways that are
+// killed in the day: they forget what they were told.
+func (p *played) perGateway(w *worker.Worker) map[string][]worker.Arrival {
+	out := map[string][]worker.Arrival{}
+	for _, a := range w.Arrivals() {
+		host, _, _ := strings.Cut(a.ID, "/")
+		out[host] = append(out[host], a)
+	}
+	for _, f := range p.faults {
+		if f.kind == "kill" {
+			delete(out, p.Nodes[f.node].Name)
+		}
+	}
+	return out
+}
+
+// unheeded tells which gateway did not do as a server had told it, "" for none.
+func (p *played) unheeded() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, s := range p.Servers {
+		for host, arrivals := range p.perGateway(p.Running(s)) {
+			slices.SortFunc(arrivals, func(a, b worker.Arrival) int { return a.At.Compare(b.At) })
+			if p.leaves(i) {
+				if id := afterLeave(arrivals, p.begin.Add(p.leaveAt+10*time.Millisecond), p.asked); id != "" {
+					return id + " reached a server after its gateway was told that it leaves"
+				}
+			}
+			if i < p.resting {
+				from := p.begin.Add(p.refuseAt + 10*time.Millisecond)
+				if n := inRest(arrivals, from, from.Add(p.refuseFor-20*time.Millisecond), p.rest); n > mostInRest {
+					return fmt.Sprintf("%s sent %d requests in a rest", host, n)
+				}
+			}
+		}
+	}
+	return ""
+}
+
+// afterLeave returns a request that was asked later than leaveWithin after its gateway was told.
+func afterLeave(arrivals []worker.Arrival, said time.Time, asked map[string]time.Time) string {
+	var told time.Time
+	for _, a := range arrivals {
+		switch {
+		case a.At.Before(said):
+		case told.IsZero():
+			told = a.At
+		case asked[a.ID].Sub(told) > leaveWithin:
+			return a.ID
+		}
+	}
+	return ""
+}
+
+// inRest returns the most requests in a rest that was asked for between two times.
+func inRest(arrivals []worker.Arrival, from, to time.Time, rest time.Duration) (most int) {
+	for i, first := range arrivals {
+		if first.At.Before(from) || first.At.After(to) {
+			continue
+		}
+		n := 0
+		for _, a := range arrivals[i:] {
+			if since := a.At.Sub(first.At); since > restKnown && since < rest {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // wrong tells what is wrong with the day, "" for nothing.
 func (p *played) wrong() string {
+	if wrong := p.unheeded(); wrong != "" {
+		return wrong
+	}
 	from, to := p.begin.Add(p.limitAt+contact), p.begin.Add(p.liftAt)
 	ran := map[string]bool{}
 	for _, s := range p.Servers {
@@ -212,7 +326,7 @@
 func (p *played) used() string {
 	possible := p.rate * float64(p.limited)
 	asked := 1 / p.every.Seconds()
-	if len(p.faults) > 0 || p.limited < p.servers || p.rate < 1 || asked < 1.5*possible {
+	if len(p.faults) > 0 || p.leaving > 0 || p.resting > 0 || p.limited < p.servers || p.rate < 1 || asked < 1.5*possible {
 		return ""
 	}
 	from, to := p.begin.Add(p.limitAt+contact), p.begin.Add(min(p.liftAt, dayLength-time.Second))
@@ -233,7 +347,7 @@
 // play plays a day and returns what is wrong.
 func (d day) play() (wrong string) {
 	synctest.Test(new(testing.T), func(*testing.T) {
-		p := &played{Fleet: simfleet.New(d.gateways, d.servers, 1, nil), day: d, replies: map[string]simfleet.Reply{}}
+		p := &played{Fleet: simfleet.New(d.gateways, d.servers, 1, nil), day: d, replies: map[string]simfleet.Reply{}, asked: map[string]time.Time{}}
 		defer p.End()
 		p.begin = time.Now()
 		var duties sync.WaitGroup
@@ -266,9 +380,10 @@
 }
 
 // Whatever happens to gateways, and wherever callers come, servers that state a rate get no more than one
-// and a half times it and five in any 4 s; refusals are true, at once and tell when to come back; and
-// where nothing is in the way, most of what the limits allow is used.
-func TestStatedRatesAreKeptOnAnyDay(t *testing.T) {
+// and a half times it and five in any 4 s; those that leave or rest get nothing from gateways that they
+// have told; refusals are true, at once and tell when to come back; and where nothing is in the way, most
+// of what the limits allow is used.
+func TestWhatServersSayIsHeededOnAnyDay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := drawDay(t)
 		if wrong := d.play(); wrong != "" {
