--- a/e2e/gatewaysoak_faults_test.go
+++ b/e2e/gatewaysoak_faults_test.go
@@ -100,6 +100,28 @@
 	}
 }
 
+// speak has workers say things of themselves for a while: a rate, nothing that can be read, and with a
+// refusal that they want nothing.
+func (s *gatewaySoak) speak(ctx context.Context, rnd *rand.Rand) {
+	said := [][]string{{"Server-Limit: 2"}, {"Server-Limit: 40"}, {"Server-Limit: 0"}, {"Server-Limit: many"}, {"Server-Limit: 1", "Server-Limit: 9"}}
+	for ctx.Err() == nil {
+		s.calm.RLock()
+		s.fleet.mu.Lock()
+		w := s.fleet.workers[rnd.IntN(len(s.fleet.workers))]
+		s.fleet.mu.Unlock()
+		pause := time.Duration(100+rnd.IntN(900)) * time.Millisecond
+		if i := rnd.IntN(len(said) + 1); i < len(said) {
+			w.Say(said[i]...)
+		} else {
+			w.Next(worker.Behaviour{Refuse: true, RetryAfter: "0.4"}, worker.Behaviour{Refuse: true, RetryAfter: "soon"})
+		}
+		wait(ctx, pause)
+		w.Say()
+		s.calm.RUnlock()
+		wait(ctx, pause/2)
+	}
+}
+
 // grown adds routes to a configuration that callers do not use.
 func grown(routes int) func(config map[string]any) {
 	return func(config map[string]any) {
--- a/e2e/gatewaysoak_test.go
+++ b/e2e/gatewaysoak_test.go
@@ -118,6 +118,7 @@
 	}
 	duties.Go(func() { s.disturbProcesses(ctx, rand.New(rand.NewPCG(seed, 1))) })
 	duties.Go(func() { s.disturbSurroundings(ctx, rand.New(rand.NewPCG(seed, 2))) })
+	duties.Go(func() { s.speak(ctx, rand.New(rand.NewPCG(seed, 3))) })
 	duties.Wait()
 	s.recover()
 	s.checkRuns()
