Ask the list without the board's lock; bound how often a rate is told

The board held its lock while it asked the list what is listed, and the list calls the board under its own when a server is gone: both together would have stopped a gateway for good (the test hangs without the change). A server that states another rate in each answer had each change told to all at once; now five times a second at most. Twenty notices did not fit into a datagram of 1,200 bytes (1,386 measured): sixteen.

--- a/internal/notice/board.go
+++ b/internal/notice/board.go
@@ -1,6 +1,8 @@
 package notice
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -172,7 +174,7 @@
 	if e.From != "" {
 		return
 	}
-	s.tells = firstTell(now)
+	s.tells.begin(now)
 	select {
 	case b.wake <- struct{}{}:
 	default: // somebody has been woken already
@@ -216,17 +218,24 @@
 // inForce reports whether anything holds that others are to know.
 func (s *state) inForce() bool { return s.draining || s.limited }
 
-// Sweep forgets servers that have not been listed for a while.
+// Sweep forgets servers that have not been listed for a while. Listed may hold locks under which this
+// board is called.
 func (b *Board) Sweep(listed func(server string) bool, now time.Time) {
 	if b.Empty() {
 		return
 	}
 	b.mu.Lock()
+	servers := slices.Collect(maps.Keys(b.servers))
+	b.mu.Unlock()
+	servers = slices.DeleteFunc(servers, func(server string) bool { return !listed(server) })
+	b.mu.Lock()
 	defer b.mu.Unlock()
-	for server, s := range b.servers {
-		if listed(server) {
+	for _, server := range servers {
+		if s := b.servers[server]; s != nil {
 			s.listed = now
 		}
+	}
+	for server, s := range b.servers {
 		over := !s.inForce() && now.After(s.restsUntil) && now.Sub(s.cleared) > keepUnlisted
 		if over || now.Sub(s.listed) > keepUnlisted {
 			b.limits.Remove(server)
--- a/internal/notice/board_test.go
+++ b/internal/notice/board_test.go
@@ -171,3 +171,23 @@
 	b.Sweep(func(string) bool { return true }, at(4200))
 	g.Expect(b.Empty()).To(BeTrue())
 }
+
+// A server that states another rate in each answer is not told of each time.
+func TestARateThatChangesAllTheTimeIsToldNowAndThen(t *testing.T) {
+	g := NewWithT(t)
+	b := newBoard()
+	told := 0
+	for now := 0; now < 10_000; now += 10 {
+		b.Heard(server, limit(4+float64(now%50)/100), at(now-5), at(now))
+		told += len(b.Due(at(now)))
+	}
+	g.Expect(told).To(BeNumerically("~", 50, 2))
+	g.Expect(b.rate(10_000)).To(BeNumerically("~", 4, 0.5))
+}
+
+// The list calls the board while it holds its lock, and the board asks the list what is listed.
+func TestTheBoardAsksTheListWithoutItsLock(t *testing.T) {
+	b := newBoard()
+	b.Heard(server, limit(1), at(0), at(100))
+	b.Sweep(func(s string) bool { return !b.Draining(s) }, at(200))
+}
--- a/internal/notice/told.go
+++ b/internal/notice/told.go
@@ -17,24 +17,32 @@
 
 // tells is when a change is told again, in case a datagram was lost.
 type tells struct {
-	left int
-	next time.Time
+	left       int
+	next, last time.Time
 }
 
 const (
-	// tellTimes is how often a change is told, tellAgain the pause after the first time; each further
-	// one is twice as long.
+	// tellTimes is how often a change is told, tellAgain the pause after the first time, also for the next
+	// change: a server may state another rate in each answer. Each further one is twice as long.
 	tellTimes = 3
 	tellAgain = 200 * time.Millisecond
 )
 
-func firstTell(now time.Time) tells { return tells{tellTimes, now} }
+// begin has a new change told.
+func (t *tells) begin(now time.Time) {
+	next := now
+	if soonest := t.last.Add(tellAgain); soonest.After(now) {
+		next = soonest
+	}
+	t.left, t.next = tellTimes, next
+}
 
 // due reports whether it is time to tell, and counts it.
 func (t *tells) due(now time.Time) bool {
 	if t.left == 0 || now.Before(t.next) {
 		return false
 	}
+	t.last = now
 	t.next = now.Add(tellAgain << (tellTimes - t.left))
 	t.left--
 	return true
--- a/internal/peers/notices.go
+++ b/internal/peers/notices.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// noticesInDatagram bounds what is told of servers in one datagram: about 50 bytes each, of 1,200.
-	noticesInDatagram = 20
+	// noticesInDatagram bounds what is told of servers in one datagram: up to 73 bytes each, of 1,200.
+	noticesInDatagram = 16
 	// stalledAfter is the pause of Run's goroutine after which it counts as held up; stalledFor is how
 	// long it takes then to take in what has waited meanwhile.
 	stalledAfter, stalledFor = 500 * time.Millisecond, 200 * time.Millisecond
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -172,6 +173,7 @@
 	g := NewWithT(t)
 	in := permit.Group{Service: "model-120b", Index: 3}
 	id := "9c41d07be2a35f68/0"
+	rated := notice.Told{Server: "i-7f3a91c2e4@1765000000000", Draining: true, LeftMs: 90000, Limited: true, Limit: 0.25, AgeMs: 90000}
 	figures := learnt{"model-120b", 25300, 647, 15234, 8123, 151234, 180}
 	for _, m := range []struct {
 		name  string
@@ -188,6 +190,9 @@
 		{"heartbeat with figures", 230, message{Beat: &beat{Host: "edge-barrage-hall-1", Capacity: Capacity{0.304, 1000}, Learnt: []learnt{figures, figures, figures}}}},
 		{"suspect", 120, message{Requests: suspects(1, 1)}},
 		{"strong suspect", 240, message{Requests: suspects(1, 3)}},
+		{"notice", 80, message{Notices: []notice.Told{rated}}},
+		{"loan", 80, message{Loans: []notice.Told{rated}}},
+		{"a datagram of loans", 1200, message{Loans: slices.Repeat([]notice.Told{rated}, noticesInDatagram)}},
 	} {
 		data, err := msgpack.Marshal(m.message)
 		g.Expect(err).NotTo(HaveOccurred())
