--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -60,6 +61,7 @@
 	topics  map[string]*topic
 	mode    Mode
 	changed chan struct{} // closed and replaced at each change
+	era     int           // told in all answers; it rises when the store comes back from a copy
 	reads   int
 	// PageSize is the number of records on a page of the newest ones.
 	PageSize int
@@ -147,7 +149,45 @@
 	mux.HandleFunc("GET /merlinpost/log-read", s.read)
 	mux.HandleFunc("GET /merlinpost/log-newest", s.newest)
 	mux.HandleFunc("POST /merlinpost/log-append", s.append)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Store-Era", strconv.Itoa(s.Era()))
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// Era returns how often the store has come back from a copy.
+func (s *Store) Era() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// Copy is the store's contents at a moment.
+type Copy struct{ topics map[string]*topic }
+
+// Copy returns the contents as they are now.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{copyTopics(s.topics)}
+}
+
+func copyTopics(topics map[string]*topic) map[string]*topic {
+	out := map[string]*topic{}
+	for name, t := range topics {
+		out[name] = &topic{first: t.first, records: slices.Clone(t.records), newest: maps.Clone(t.newest)}
+	}
+	return out
+}
+
+// Restore has the store come back from a copy: what was written since is gone, offsets are given out
+// again, and the era rises.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = copyTopics(c.topics)
+	s.era++
+	s.wake()
 }
 
 // Address returns the IP:PORT of the store.
@@ -251,7 +291,7 @@
 		t := s.topic(query.Get("topic"))
 		changed, end := s.changed, t.first+int64(len(t.records))
 		switch {
-		case from < t.first:
+		case from < t.first || from > end:
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
