Read nothing from an offset of before when the store came back from a copy

What operators would see: after a drill in which the store came back from an older copy, the next configuration is not in force on any gateway where as many records came again as were lost (12 s and more).

Cause: an offset was taken to name a record for good, and gateways wait from the old end on, where nothing comes. Ruled out: that the version is read and taken for an older one (no read returns it). Nothing read the store's era.

Now the client reads it in each answer, and a place in a topic is an offset in an era: a read from an earlier era fails whatever was answered and the newest is read whole, a conditional write with one is not sent. What gateways hand each other carries the era.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	follower := follow.New(follow.Parts{
-		Connect: func(address string) follow.Store { return platform.NewStore(address) }, Topics: platform.Topics, Decoder: platform.Decoder{},
+		Connect: func(address string) follow.Store { return platform.NewStore(address, logger) }, Topics: platform.Topics, Decoder: platform.Decoder{},
 		Gateway: g, Servers: servers, Peers: others, Share: share, Logger: logger,
 	}, set.Follow())
 	keeper := quarantine.NewKeeper(g.Quarantine(), follower.Quarantine(), set.Host, logger)
--- a/internal/configshare/configshare.go
+++ b/internal/configshare/configshare.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/logposition"
 	"github.com/merlinpost/merlinpost/internal/routing"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 	"github.com/merlinpost/merlinpost/internal/wire"
@@ -47,8 +48,8 @@
 // Version is a configuration and where it stands in the store.
 type Version struct {
 	Table *routing.Table
-	// Offset is where the store's topic goes on behind it.
-	Offset int64
+	// Next is where the store's topic goes on behind it.
+	Next logposition.Position
 	// Bytes is its size in the store.
 	Bytes int
 }
@@ -77,7 +78,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if was := s.newest.Table; was != nil && v.Table.Version <= was.Version {
-		s.newest.Offset = max(s.newest.Offset, v.Offset)
+		s.newest.Next = logposition.Later(s.newest.Next, v.Next)
 		return
 	}
 	if s.newest.Table != nil {
@@ -168,7 +169,7 @@
 		return &wire.TableReply{Busy: true}, func() {}
 	}
 	s.sending += len(change)
-	return &wire.TableReply{Offset: s.newest.Offset, Bytes: s.newest.Bytes, Change: change}, func() {
+	return &wire.TableReply{Offset: s.newest.Next.Offset, Era: s.newest.Next.Era, Bytes: s.newest.Bytes, Change: change}, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.sending -= len(change)
@@ -240,5 +241,5 @@
 	if err != nil {
 		return Version{}, 0, err
 	}
-	return Version{Table: table, Offset: reply.Offset, Bytes: reply.Bytes}, len(reply.Change), nil
+	return Version{Table: table, Next: logposition.Position{Era: reply.Era, Offset: reply.Offset}, Bytes: reply.Bytes}, len(reply.Change), nil
 }
--- a/internal/configshare/configshare_test.go
+++ b/internal/configshare/configshare_test.go
@@ -16,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/logposition"
 	"github.com/merlinpost/merlinpost/internal/routing"
 	"github.com/merlinpost/merlinpost/internal/standin/memnet"
 	"github.com/merlinpost/merlinpost/internal/wire"
@@ -79,13 +80,13 @@
 		g.Expect(fault.Is(err, fault.LinkBusy)).To(BeTrue()) // it has none itself
 
 		old, next := table(3, 2800), table(5, 4200)
-		p.server.Put(Version{Table: old, Offset: 7, Bytes: 600_000})
-		p.server.Put(Version{Table: next, Offset: 9, Bytes: 900_000})
+		p.server.Put(Version{Table: old, Next: logposition.Position{Offset: 7}, Bytes: 600_000})
+		p.server.Put(Version{Table: next, Next: logposition.Position{Offset: 9}, Bytes: 900_000})
 		start := time.Now()
 		v, fromOld, err := p.fetch(old)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(v.Table.Digest()).To(Equal(next.Digest()))
-		g.Expect(v.Offset).To(BeEquivalentTo(9))
+		g.Expect(v.Next.Offset).To(BeEquivalentTo(9))
 		g.Expect(v.Bytes).To(Equal(900_000))
 		g.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
 
@@ -105,7 +106,7 @@
 		g := NewWithT(t)
 		p, end := newPair(2e6)
 		defer end()
-		p.server.Put(Version{Table: table(5, 4200), Offset: 9})
+		p.server.Put(Version{Table: table(5, 4200), Next: logposition.Position{Offset: 9}})
 		_, bytes, err := p.fetch(nil)
 		g.Expect(err).NotTo(HaveOccurred())
 		const asking = 8
@@ -140,7 +141,7 @@
 		p, end := newPair(0.5e6)
 		defer end()
 		p.server.linkMbps = 0 // takes any
-		p.server.Put(Version{Table: table(5, 4200), Offset: 9})
+		p.server.Put(Version{Table: table(5, 4200), Next: logposition.Position{Offset: 9}})
 		start := time.Now()
 		_, _, err := p.fetch(nil)
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -63,10 +63,12 @@
 	LogDown      Code = "log_unavailable"
 	LogUnsettled Code = "log_unsettled"
 	LogTruncated Code = "log_truncated"
-	BadFrame     Code = "bad_frame"
-	BadVersion   Code = "bad_version"
-	BadSettings  Code = "bad_settings"
-	Internal     Code = "internal"
+	// LogRestored: the log has come back from an older copy.
+	LogRestored Code = "log_restored"
+	BadFrame    Code = "bad_frame"
+	BadVersion  Code = "bad_version"
+	BadSettings Code = "bad_settings"
+	Internal    Code = "internal"
 )
 
 // Outcome says whether a request's work ran.
--- a/internal/follow/configuration.go
+++ b/internal/follow/configuration.go
@@ -7,6 +7,7 @@
 
 	"github.com/merlinpost/merlinpost/internal/configshare"
 	"github.com/merlinpost/merlinpost/internal/freshness"
+	"github.com/merlinpost/merlinpost/internal/logposition"
 	"github.com/merlinpost/merlinpost/internal/routing"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
@@ -70,9 +71,9 @@
 
 // shareConfig offers the version in force to the other gateways; next is where the topic goes
 // on.
-func (f *Follower) shareConfig(next int64) {
+func (f *Follower) shareConfig(next logposition.Position) {
 	if table := f.Gateway.Table(); table != nil {
-		f.Share.Put(configshare.Version{Table: table, Offset: next, Bytes: f.configBytes})
+		f.Share.Put(configshare.Version{Table: table, Next: next, Bytes: f.configBytes})
 	}
 }
 
@@ -93,7 +94,7 @@
 		f.Logger.Info("configuration in force", "config", v.Table.Version, "fetched_from", from, "fetched_bytes", packed,
 			"took_ms", time.Since(start).Milliseconds())
 	}
-	r.next, r.loaded, r.behind, r.news = max(r.next, v.Offset), true, false, false
+	r.next, r.loaded, r.behind, r.news = logposition.Later(r.next, v.Next), true, false, false
 	f.Share.Put(v)
 	f.Peers.Find(f.Topics.Configuration, uint64(f.Gateway.ConfigVersion()), at, r.since)
 	return true
--- a/internal/follow/deployment_test.go
+++ b/internal/follow/deployment_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"slices"
 	"strings"
@@ -75,7 +76,9 @@
 		asks := h.link.Listen(peerPort)
 		ofHost := parts(h.gateway, servers, h.peers)
 		ofHost.Share = configshare.New(h.link.DialContext, spec.rate/1e6, quiet())
-		ofHost.Connect = func(address string) follow.Store { return platform.NewStoreOver(h.link.DialContext, address) }
+		ofHost.Connect = func(address string) follow.Store {
+			return platform.NewStoreOver(h.link.DialContext, address, slog.New(slog.DiscardHandler))
+		}
 		f := follow.New(ofHost, follow.Settings{Address: d.storeAt.Address(storePort).String(), DrainWithin: simulatedApply,
 			ApplyWithin: simulatedApply, RecordBytes: recordBytes})
 		duties.Go(func() { h.peers.Run(ctx) })
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -41,7 +41,7 @@
 // parts are those of a follower of the stand-in, with a share that reaches nobody.
 func parts(gw *gateway.Gateway, servers *registry.Registry, others follow.Peers) follow.Parts {
 	return follow.Parts{
-		Connect: func(address string) follow.Store { return platform.NewStore(address) }, Topics: platform.Topics, Decoder: platform.Decoder{},
+		Connect: func(address string) follow.Store { return platform.NewStore(address, slog.New(slog.DiscardHandler)) }, Topics: platform.Topics, Decoder: platform.Decoder{},
 		Gateway: gw, Servers: servers, Peers: others, Share: configshare.New((&net.Dialer{}).DialContext, 0, quiet()), Logger: quiet(),
 	}
 }
--- a/internal/follow/parts.go
+++ b/internal/follow/parts.go
@@ -8,6 +8,7 @@
 
 	"github.com/merlinpost/merlinpost/internal/configshare"
 	"github.com/merlinpost/merlinpost/internal/gateway"
+	"github.com/merlinpost/merlinpost/internal/logposition"
 	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/routing"
@@ -22,19 +23,20 @@
 // Store is what is followed. Its topics hold the newest record of each key for good, and all
 // records for a while.
 type Store interface {
-	// Read returns the records of a topic from an offset on, the offset of the next one, and
+	// Read returns the records of a topic from a position on, the position of the next one, and
 	// the end of the topic, which lies behind it if more records are there than the read
 	// returns: up to maxKB, or one record. It waits up to wait for a record to come, and gives
 	// up when nothing comes for timeout beside that. Errors have code LogTruncated when the
-	// records have been deleted, else LogDown.
-	Read(ctx context.Context, topic string, from int64, maxKB int, wait, timeout time.Duration) (records []Record, next, end int64, err error)
-	// Newest returns the newest record of each key and the offset from which changes are to
-	// be read. What comes while it reads may be in both.
-	Newest(ctx context.Context, topic string, timeout time.Duration) (records []Record, next int64, err error)
+	// records have been deleted, LogRestored when the position is of an earlier era, else LogDown.
+	Read(ctx context.Context, topic string, from logposition.Position, maxKB int, wait, timeout time.Duration) (records []Record, next, end logposition.Position, err error)
+	// Newest returns the newest record of each key and the position from which changes are to
+	// be read. What comes while it reads may be in both. Errors are as above.
+	Newest(ctx context.Context, topic string, timeout time.Duration) (records []Record, next logposition.Position, err error)
 	// Put appends a record. After an error it may have been appended or may still be.
 	Put(ctx context.Context, topic string, r Record, timeout time.Duration) error
-	// PutAt appends a record only if the topic ends at an offset; else the error has code Conflict.
-	PutAt(ctx context.Context, topic string, r Record, at int64, timeout time.Duration) error
+	// PutAt appends a record only if the topic ends at a position; else the error has code Conflict, or
+	// LogRestored when the position is of an earlier era.
+	PutAt(ctx context.Context, topic string, r Record, at logposition.Position, timeout time.Duration) error
 }
 
 // Topics are the names of what is followed.
--- a/internal/follow/quarantine.go
+++ b/internal/follow/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/merlinpost/merlinpost/internal/logposition"
 	"github.com/merlinpost/merlinpost/internal/quarantine"
 )
 
@@ -13,10 +14,10 @@
 func (f *Follower) Quarantine() quarantine.Store { return verdictStore{f} }
 
 // Newest implements quarantine.Store.
-func (s verdictStore) Newest(ctx context.Context) (map[string][]byte, int64, error) {
+func (s verdictStore) Newest(ctx context.Context) (map[string][]byte, logposition.Position, error) {
 	records, end, err := s.f.store.Load().Newest(ctx, s.f.Topics.Quarantine, readTimeout)
 	if err != nil {
-		return nil, 0, err
+		return nil, end, err
 	}
 	kept := make(map[string][]byte, len(records))
 	for _, r := range records {
@@ -26,10 +27,10 @@
 }
 
 // Put implements quarantine.Store.
-func (s verdictStore) Put(ctx context.Context, key string, value []byte, at int64) error {
+func (s verdictStore) Put(ctx context.Context, key string, value []byte, at *logposition.Position) error {
 	r := Record{Key: key, Value: value}
-	if at < 0 {
+	if at == nil {
 		return s.f.store.Load().Put(ctx, s.f.Topics.Quarantine, r, readTimeout)
 	}
-	return s.f.store.Load().PutAt(ctx, s.f.Topics.Quarantine, r, at, readTimeout)
+	return s.f.store.Load().PutAt(ctx, s.f.Topics.Quarantine, r, *at, readTimeout)
 }
--- a/internal/follow/reading.go
+++ b/internal/follow/reading.go
@@ -7,12 +7,13 @@
 
 	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/freshness"
+	"github.com/merlinpost/merlinpost/internal/logposition"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
 // reading is how far a topic has been read.
 type reading struct {
-	next     int64
+	next     logposition.Position
 	loaded   bool      // the newest records have been read
 	news     bool      // the last read has returned records
 	behind   bool      // and there are more
@@ -22,13 +23,14 @@
 	since    time.Time // since when calls have been answered without a break
 	lost     time.Time // when the last break began
 	returned time.Time // when it ended, zero for none
+	restored time.Time // when the store was found to have come back from an older copy
 }
 
 // read reads the topic once and takes in what has come.
 func (f *Follower) read(ctx context.Context, t topic, first bool, r *reading) {
 	var (
 		records   []Record
-		next, end int64
+		next, end logposition.Position
 		err       error
 	)
 	take, wait := t.added, time.Duration(0)
@@ -46,8 +48,15 @@
 	switch {
 	case ctx.Err() != nil:
 		return
+	case fault.Is(err, fault.LogRestored):
+		// Offsets are given out again: what comes at the old end may be as many records as were lost, or
+		// none, and nothing that is read from there on tells of them. Entries that are not there yet are
+		// written again, so that they count as after an outage.
+		f.Logger.Info("reading the newest of the store that came back", "topic", t.name, "from", r.next.Offset, "era", r.next.Era)
+		r.loaded, r.restored = false, time.Now()
+		return
 	case fault.Is(err, fault.LogTruncated):
-		f.Logger.Info("the store has deleted records, reading the newest", "topic", t.name, "from", r.next)
+		f.Logger.Info("the store has deleted records, reading the newest", "topic", t.name, "from", r.next.Offset)
 		r.loaded = false
 		return
 	case err != nil:
@@ -58,7 +67,7 @@
 		return
 	case r.down:
 		r.down, r.returned, r.since, r.lost = false, time.Now(), time.Now(), r.lastGood
-		f.Logger.Info("regained the store", "topic", t.name, "offset", next)
+		f.Logger.Info("regained the store", "topic", t.name, "offset", next.Offset)
 		f.answered.tell()
 		if t.name == f.Topics.Servers {
 			f.lostStore.Store(false)
@@ -80,11 +89,11 @@
 // advance notes how far the topic has been read. Of a topic of which only the newest counts
 // the last record is read next: the versions between do not count, and a page of the newest
 // records is a third longer. Where that is another key's the page is read after all.
-func (r *reading) advance(t topic, records []Record, next, end int64) {
+func (r *reading) advance(t topic, records []Record, next, end logposition.Position) {
 	wasBehind := r.behind
-	r.next, r.behind = next, t.key != "" && next < end
+	r.next, r.behind = next, t.key != "" && next.Offset < end.Offset
 	if r.behind {
-		r.next = end - 1
+		r.next.Offset = end.Offset - 1
 	}
 	if wasBehind && t.key != "" && !slices.ContainsFunc(records, func(rec Record) bool { return rec.Key == t.key }) {
 		r.loaded = false
@@ -95,6 +104,9 @@
 // another gateway was answered all the while: then only this host was cut off, no
 // entry has lapsed for want of the store, and none that is missing will be back.
 func (f *Follower) graceFrom(topic string, r *reading) time.Time {
+	if time.Since(r.restored) < returnGrace {
+		return r.restored // what the copy lacks is not gone: it is written again
+	}
 	up := f.Peers.StoreUpSince(topic)
 	if !up.IsZero() && up.Before(r.lost) {
 		r.returned = time.Time{}
--- a/internal/follow/topic.go
+++ b/internal/follow/topic.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/freshness"
+	"github.com/merlinpost/merlinpost/internal/logposition"
 	"github.com/merlinpost/merlinpost/internal/peers"
 )
 
@@ -26,7 +27,7 @@
 	// the store.
 	fromPeer func(context.Context, *reading) bool
 	// offer hands the state to the other gateways who ask; next is where the topic goes on.
-	offer func(next int64)
+	offer func(next logposition.Position)
 	// confirm takes in when the state this gateway has was found to be the newest.
 	confirm func(at, returned time.Time)
 	// key is the one whose newest value is all that counts, "" if all keys do: what was
@@ -70,5 +71,5 @@
 	within := f.settings.Load().DrainWithin
 	return topic{name: f.Topics.Servers, maxKB: listReadKB, bound: bound(within, 0.45), pause: within / 3,
 		confirm: f.confirmList, whole: f.wholeList, added: f.newEntries,
-		fromPeer: func(context.Context, *reading) bool { return false }, offer: func(int64) {}, watch: func(error) {}}
+		fromPeer: func(context.Context, *reading) bool { return false }, offer: func(logposition.Position) {}, watch: func(error) {}}
 }
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -29,27 +29,33 @@
 // reply may be silent.
 const progressBytes = 16 << 10
 
-// Do makes a call and returns the status and the whole body, and with an error what has come
-// of it. Errors have code TooLarge or are the client's.
-func Do(client *http.Client, req *http.Request, l Limits) (status int, body []byte, err error) {
+// Reply is an answer with its whole body, or with an error what has come of it.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Do makes a call. Errors have code TooLarge or are the client's.
+func Do(client *http.Client, req *http.Request, l Limits) (reply Reply, err error) {
 	ctx, cancel := context.WithTimeout(req.Context(), l.Wait+l.Longest)
 	defer cancel()
 	silence := time.AfterFunc(l.Wait+l.Silence, cancel)
 	defer silence.Stop()
 	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
-		return 0, nil, err
+		return Reply{}, err
 	}
 	defer func() { _ = resp.Body.Close() }() // what is wanted of it has been read
 	progress := readerFunc(func(p []byte) (int, error) {
 		silence.Reset(l.Silence)
 		return resp.Body.Read(p[:min(len(p), progressBytes)])
 	})
-	body, err = io.ReadAll(io.LimitReader(progress, l.Bytes+1))
+	body, err := io.ReadAll(io.LimitReader(progress, l.Bytes+1))
 	if err == nil && int64(len(body)) > l.Bytes {
 		err = fault.New(fault.TooLarge, "a reply of more than %d bytes", l.Bytes)
 	}
-	return resp.StatusCode, body, err
+	return Reply{resp.StatusCode, resp.Header, body}, err
 }
 
 // readerFunc is an io.Reader of one function.
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -31,13 +31,13 @@
 		return 0, 0, 0, err
 	}
 	start := time.Now()
-	status, body, err := Do(client, req, limits)
+	reply, err := Do(client, req, limits)
 	took = time.Since(start)
 	_ = server.Close()
 	network.Close()
 	client.CloseIdleConnections()
 	time.Sleep(time.Second) // the handler ends
-	return status, len(body), took, err
+	return reply.Status, len(reply.Body), took, err
 }
 
 // In chunks of any size, with a length or without: as long as bytes come, the call goes on.
@@ -102,7 +102,7 @@
 	limits.Bytes = 10
 	req, err := http.NewRequest(http.MethodGet, "http://10.0.0.1/", nil)
 	g.Expect(err).NotTo(HaveOccurred())
-	_, _, err = Do(&http.Client{Transport: fixed("12345678901")}, req, limits)
+	_, err = Do(&http.Client{Transport: fixed("12345678901")}, req, limits)
 	g.Expect(fault.Is(err, fault.TooLarge)).To(BeTrue())
 }
 
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -9,6 +9,7 @@
 
 	"github.com/merlinpost/merlinpost/internal/decisionlog"
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/logposition"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
@@ -16,10 +17,10 @@
 // without the store three more servers would end each time.
 type Store interface {
 	// Newest returns what is kept, and the end of the topic.
-	Newest(ctx context.Context) (kept map[string][]byte, end int64, err error)
-	// Put keeps a value, nil for none. Where at is not negative, it does so only if the topic ends
-	// there still; else the error has code Conflict.
-	Put(ctx context.Context, key string, value []byte, at int64) error
+	Newest(ctx context.Context) (kept map[string][]byte, end logposition.Position, err error)
+	// Put keeps a value, nil for none. Where at is given, it does so only if the topic ends
+	// there still; else the error has code Conflict, or LogRestored after the store came back from a copy.
+	Put(ctx context.Context, key string, value []byte, at *logposition.Position) error
 }
 
 const (
@@ -223,7 +224,7 @@
 			return
 		}
 	}
-	if err := k.store.Put(ctx, id.String(), value, -1); err != nil {
+	if err := k.store.Put(ctx, id.String(), value, nil); err != nil {
 		if ctx.Err() == nil {
 			telemetry.Count("merlinpost_quarantine_writes_failed_total")
 			k.logger.Warn("verdict not written to the store yet", "request", id.String(), "error", err)
@@ -304,5 +305,5 @@
 	if value, err = encodeKept(v, k.host); err != nil {
 		return nil, fault.New(fault.Internal, "%w", err)
 	}
-	return &v, k.store.Put(ctx, id.String(), value, end)
+	return &v, k.store.Put(ctx, id.String(), value, &end)
 }
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/logposition"
 )
 
 // shelf is a store in memory.
@@ -23,7 +24,7 @@
 	readers *sync.WaitGroup
 }
 
-func (s *shelf) Newest(context.Context) (map[string][]byte, int64, error) {
+func (s *shelf) Newest(context.Context) (map[string][]byte, logposition.Position, error) {
 	s.mu.Lock()
 	out, end := map[string][]byte{}, s.end
 	for key, value := range s.kept {
@@ -35,14 +36,14 @@
 		readers.Done()
 		readers.Wait()
 	}
-	return out, end, nil
+	return out, logposition.Position{Offset: end}, nil
 }
 
-func (s *shelf) Put(_ context.Context, key string, value []byte, at int64) error {
+func (s *shelf) Put(_ context.Context, key string, value []byte, at *logposition.Position) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readers = nil
-	if at >= 0 && at != s.end {
+	if at != nil && at.Offset != s.end {
 		return fault.New(fault.Conflict, "it ends at %d", s.end)
 	}
 	s.end++
@@ -57,7 +58,7 @@
 	v := Verdict{Since: now.Add(-time.Minute), Until: now, Servers: []string{"i-1", "i-2", "i-3"}}
 	value, err := encodeKept(v, "edge-0")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(store.Put(context.Background(), fatal.String(), value, -1)).To(Succeed())
+	g.Expect(store.Put(context.Background(), fatal.String(), value, nil)).To(Succeed())
 	var both, claims sync.WaitGroup
 	both.Add(2)
 	store.readers = &both
--- a/internal/standin/simfleet/simfleet.go
+++ b/internal/standin/simfleet/simfleet.go
@@ -184,7 +184,7 @@
 	others := peers.New(n.Name, n.Link.Packets(peerPort), peers.Capacity{Cores: 0.3}, p.gateway, quiet())
 	p.gateway.UsePeers(others)
 	share := configshare.New(n.Link.DialContext, 0, quiet())
-	follower := follow.New(follow.Parts{Connect: func(address string) follow.Store { return platform.NewStoreOver(n.Link.DialContext, address) },
+	follower := follow.New(follow.Parts{Connect: func(address string) follow.Store { return platform.NewStoreOver(n.Link.DialContext, address, quiet()) },
 		Topics: platform.Topics, Decoder: platform.Decoder{}, Gateway: p.gateway, Servers: servers, Peers: others, Share: share, Logger: quiet()},
 		follow.Settings{Address: f.storeAt.Address(storePort).String(), DrainWithin: DrainWithin, ApplyWithin: ApplyWithin})
 	keeper := quarantine.NewKeeper(p.gateway.Quarantine(), follower.Quarantine(), n.Name, quiet())
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -246,8 +246,9 @@
 type TableReply struct {
 	// Busy says that the asker should read the store instead.
 	Busy bool
-	// Offset is where the store's topic goes on behind the version.
+	// Offset is where the store's topic goes on behind the version, in an era of the store.
 	Offset int64
+	Era    int64
 	// Bytes is the size of the version in the store.
 	Bytes int
 	// Change is a routing.Change, encoded with msgpack and compressed with deflate.
