--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -14,6 +14,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/standin/platformstore"
@@ -110,6 +111,26 @@
 	return f, f.waitReady()
 }
 
+// startFleet starts four gateways, so many servers of one service and one of the other, until the
+// test ends.
+func startFleet(t *testing.T, service string, servers int) *fleet {
+	t.Helper()
+	size := fleetSize{gateways: 4, llms: 1, apps: 1}
+	if service == llmService {
+		size.llms = servers
+	} else {
+		size.apps = servers
+	}
+	f, err := newFleet(t.TempDir(), size)
+	if f != nil {
+		t.Cleanup(f.close)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
 func (f *fleet) close() {
 	for _, g := range f.gateways {
 		f.kill(g)
--- a/e2e/notices_test.go
+++ b/e2e/notices_test.go
@@ -61,19 +61,7 @@
 
 func startSpeakers(t *testing.T, route string, servers int, seed uint64) *speakers {
 	t.Helper()
-	size := fleetSize{gateways: 4, llms: 1, apps: 1}
-	if servedRoutes[route] == llmService {
-		size.llms = servers
-	} else {
-		size.apps = servers
-	}
-	f, err := newFleet(t.TempDir(), size)
-	if f != nil {
-		t.Cleanup(f.close)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	f := startFleet(t, servedRoutes[route], servers)
 	s := &speakers{fleet: f, t: t, route: route, rnd: rand.New(rand.NewPCG(seed, 1))}
 	for _, w := range f.workers {
 		if serviceOf(w) == servedRoutes[route] {
--- a/e2e/quarantine_test.go
+++ b/e2e/quarantine_test.go
@@ -53,19 +53,7 @@
 // startOutage starts a fleet with so many servers of the service.
 func startOutage(ctx context.Context, t *testing.T, service string, servers int) *outage {
 	t.Helper()
-	size := fleetSize{gateways: 4, llms: 1, apps: 1}
-	if service == llmService {
-		size.llms = servers
-	} else {
-		size.apps = servers
-	}
-	f, err := newFleet(t.TempDir(), size)
-	if f != nil {
-		t.Cleanup(f.close)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	f := startFleet(t, service, servers)
 	o := &outage{fleet: f, t: t, service: service, end: ctx}
 	t.Cleanup(o.comeUp.Wait)
 	for _, w := range f.workers {
--- a/e2e/storecopy_test.go
+++ b/e2e/storecopy_test.go
@@ -27,13 +27,7 @@
 	for name, again := range map[string]int{"fewer": 1, "as many": lostVersions, "more": lostVersions + 2} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f, err := newFleet(t.TempDir(), fleetSize{gateways: 4, llms: 1, apps: 2})
-			if f != nil {
-				t.Cleanup(f.close)
-			}
-			if err != nil {
-				t.Fatal(err)
-			}
+			f := startFleet(t, appService, 2)
 			old := f.store.Copy()
 			for range lostVersions {
 				f.configure(nil)
--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -191,8 +191,7 @@
 	s.token += (per - s.token) / (s.tokens + startWeight)
 }
 
-// unsure is how many times as long as expected a reading may well take: of those seen on
-// two deployments 9 in 10 took less than 1.3 times.
+// unsure is how many times as long as expected a reading may well take.
 const unsure = 1.25
 
 const (
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -21,8 +21,7 @@
 }
 
 const (
-	// linkShare is the part of a link that a large reply gets: the rest carries answers. On
-	// loaded links of 10 Mbit/s 887 KB took 0.83 to 1.04 s instead of 0.71 s.
+	// linkShare is the part of a link that a large reply gets: the rest carries answers.
 	linkShare = 0.7
 	// growth is how much larger than the last one the next value is taken to be.
 	growth = 1.5
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -171,80 +170,6 @@
 	return fault.New(fault.Expired, "the deadline has passed before the request was sent").With(fault.NotRun).After(noServerRetryAfter)
 }
 
-// noServer is the answer where no backend server may get work.
-func (g *Gateway) noServer(q *request) error {
-	return fault.New(fault.NoServer, "no backend server of service %q is ready", q.service).
-		With(fault.NotRun).After(noServerRetryAfter)
-}
-
-// choose picks the backend server for the next send and gets leave to send it.
-func (g *Gateway) choose(ctx context.Context, q *request, tried map[string]bool, t turn, rel *relay) (placement.Choice, peers.Leave, error) {
-	if g.needsPermit(q) {
-		return g.acquire(ctx, q, tried, t, rel)
-	}
-	candidates := g.candidates(q.service, tried)
-	g.noteStanding(q)
-	c, err := g.place(q, candidates)
-	return c, peers.Leave{}, err
-}
-
-// place chooses a server by what this gateway knows alone, and takes leave of this gateway's share
-// where the server states a rate.
-func (g *Gateway) place(q *request, candidates []placement.Candidate) (placement.Choice, error) {
-	wait, exhausted := longestReturn, 0
-	listed := candidates
-	candidates = slices.DeleteFunc(slices.Clone(candidates), func(c placement.Candidate) bool { return c.Rests > 0 })
-	for {
-		now, limits := g.now(), g.notices.Limits()
-		candidates = slices.DeleteFunc(candidates, func(c placement.Candidate) bool {
-			b := limits.Budget(c.Server.Start(), now)
-			if b.Wait > 0 {
-				wait = min(wait, b.Wait)
-				exhausted++
-			}
-			return b.Wait > 0
-		})
-		choose := placement.Plain
-		if q.route.PrefixAffinity {
-			choose = placement.Engine
-		}
-		c := choose(g.placementRequest(q), candidates)
-		switch {
-		case c.Candidate == nil && exhausted > 0:
-			return c, g.limited(exhausted, wait)
-		case c.Candidate == nil:
-			return c, g.noneOf(q, listed)
-		case limits.Take(c.Candidate.Server.Start(), now):
-			return c, nil
-		}
-	}
-}
-
-// candidates are the servers of a service that may get work now. The list is not all that counts: it
-// is as old as the store is silent, while a server says in its answers that it leaves.
-func (g *Gateway) candidates(service string, tried map[string]bool) []placement.Candidate {
-	now := g.now()
-	backends := g.servers.Ready(service)
-	out := make([]placement.Candidate, 0, len(backends))
-	for _, b := range backends {
-		s := b.Server()
-		if !g.notices.Draining(s.Start()) {
-			out = append(out, placement.Candidate{Backend: b, Server: s, View: b.View(now), Tried: tried[s.Start()],
-				Rests: g.notices.RestsFor(s.Start(), now)})
-		}
-	}
-	return out
-}
-
-// groups returns the number of groups of a service's servers: those that are listed, as all gateways
-// have one list.
-func (g *Gateway) groups(service string) int { return placement.Groups(len(g.servers.Ready(service))) }
-
-func (g *Gateway) placementRequest(q *request) placement.Request {
-	return placement.Request{Prompt: q.call.Prompt, Key: q.call.ID,
-		FailureDomain: g.settings.Load().FailureDomain, Draw: g.draw()}
-}
-
 // sendTo sends the request to the chosen server and relays what it answers.
 func (g *Gateway) sendTo(ctx context.Context, q *request, choice placement.Choice, leave peers.Leave, rel *relay) (outcome, error) {
 	b := choice.Candidate.Backend
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -21,8 +21,7 @@
 	targetsOfPatience, gapsPatience = 4, 8
 	// restShare is the part of the time that the rest of a broken stream is expected to
 	// take which must be left when it goes on elsewhere. With less, the engine would
-	// read its prompt again for an answer that is cut at the deadline, of which there
-	// were 107 in 461 after the crash of 12 of 50 engines.
+	// read its prompt again for an answer that is cut at the deadline.
 	restShare = 0.5
 	// shortestLimit is the least time in which a first token is asked for.
 	shortestLimit = 500 * time.Millisecond
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -37,9 +37,8 @@
 	downFor = 3 * time.Second
 	// largeShare is the part of the largest member's processor that a member must have to
 	// decide for a group of engines, and of processor and link to read the store for all.
-	// On hosts of 0.144 to 0.8 cores the small ones would be busy with the asks of all; one
-	// with 10 instead of 200 Mbit/s has 887 KB after 0.9 s instead of 0.1 s, and tells the
-	// others only then.
+	// The small ones would be busy with the asks of all, and one on a slow link would have a
+	// large value, and tell the others, much later.
 	largeShare = 0.5
 	// countedFor is how long a member that is not heard keeps its share of rates: it may be cut off from
 	// here and go on sending. Without an end, the shares of hosts that are gone for good would be lost.
--- a/internal/permit/engine.go
+++ b/internal/permit/engine.go
@@ -15,8 +15,7 @@
 	// maxDoublings keeps the shift of a pause inside its type.
 	maxDoublings = 8
 	// ownMemory is the part of an engine's memory that its requests may take for what they
-	// share with no other. The rest is for shared parts: some twenty of 4,000 to 5,000
-	// tokens at each engine of two users.
+	// share with no other. The rest is for shared parts.
 	ownMemory = 0.75
 	// overdueWait is the wait that is told of an engine which should have read what it was
 	// granted.
--- a/internal/permit/place.go
+++ b/internal/permit/place.go
@@ -6,20 +6,17 @@
 	"time"
 )
 
-// Where no figure is given, constants were chosen by trials; docs/EXPERIMENTS.md has what
-// other values of some gave in simulation.
+// docs/EXPERIMENTS.md has what other values of some of these gave in simulation.
 const (
 	// besidePart is the part of the tightest pause that prompts read one with another may
-	// take: they count as one short reading. With half of it 0.903 instead of 0.925 of
-	// simulated questions are in time.
+	// take: they count as one short reading.
 	besidePart = 0.25
 	// crowdWeight is what a reading counts for each stream that it slows down, against the
 	// wait of the request itself.
 	crowdWeight = 0.05
 	// orderCost is what the whole length of the order of preference counts for short
 	// prompts: they fill engines from its begin, so that some are left to long ones while
-	// there is room. With it 0.926 instead of 0.886 of the questions of a simulated load
-	// of reviews are on time (6 seeds).
+	// there is room.
 	orderCost = 150 * time.Millisecond
 	// packedPart is the part of its slots beyond which an engine is no longer filled with
 	// short prompts, and packedCost what a full one counts.
@@ -37,10 +34,8 @@
 	remoteCost = 4 * time.Millisecond
 	// dueShare is the part of its target that an ask waits for a place where it does no
 	// harm. Then it may harm dueHarm streams that are more urgent than itself, and up to
-	// limitHarm more at its limit: late answers of others before its refusal. With one stream
-	// at most 0.007 of a simulated load of reviews were refused, 0.004 so, with as many
-	// questions in time (0.940 and 0.947, 6 seeds); with six more than one, 0.61 of the
-	// longest tenth were served at 1.5 times the load where 0.88 of all were.
+	// limitHarm more at its limit: late answers of others before its refusal. With fewer the
+	// longest prompts are served far less often than the others.
 	dueShare  = 0.6
 	dueHarm   = 1
 	limitHarm = 10.0
--- a/internal/permit/prefixes.go
+++ b/internal/permit/prefixes.go
@@ -6,11 +6,8 @@
 
 const (
 	// holdFor is how long an engine is taken to keep a part that it has read or used.
-	// Engines of two users' size that read without pause keep one for about 12 s; a part
-	// that is gone costs a fetch in vain, or its reading. Learning it from first events that
-	// come late was tried: under load one in ten comes late for other reasons, the time
-	// shrank to seconds, and 5.6 instead of 1.5 million tokens of shared parts were read
-	// again on one day.
+	// A part that is gone costs a fetch in vain, or its reading. It is not learnt from first
+	// events that come late: under load they do so for other reasons.
 	holdFor = 20 * time.Second
 	// pruneEvery is the pause between two looks for parts that nobody holds any more.
 	pruneEvery = 5 * time.Second
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -28,8 +28,7 @@
 	shortestReturn, longestReturn = 500 * time.Millisecond, 5 * time.Second
 	// lostFactor and lostMargin are how long a granted request may give no word before its
 	// prompt counts as read: its gateway is gone, the notice was lost, or the engine is
-	// silent and gets nothing for a while. Of the prompts on two deployments 1 in 100 took
-	// more than 3 times as long as expected.
+	// silent and gets nothing for a while.
 	lostFactor, lostMargin = 3, 150 * time.Millisecond
 	// silentAfter is how long an ask waits without being repeated: its gateway is gone.
 	silentAfter = 3500 * time.Millisecond
@@ -271,9 +270,7 @@
 }
 
 // home returns the engine that reads a part of which nothing is known, the same
-// whoever decides: after a change of who does, the part is likely there. After power
-// was lost at all gateways and back, 2.3 million tokens of shared parts were read again
-// instead of 2.7 million (one day of the agency's large deployment).
+// whoever decides: after a change of who does, the part is likely there.
 func (q *Queue) home(part string) string {
 	if part == "" {
 		return ""
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -88,11 +88,9 @@
 	// runningMs is what a running request adds to the wait of a new one: its
 	// share of a step over the tokens of an event.
 	runningMs = 3.0
-	// reportedMs is the same for a request that the server itself counts. With it the
-	// home of a part that many ask for is left at some 20 requests above the least
-	// loaded; without it, by what each of 21 gateways sends itself, it hardly ever was:
-	// 99 in 100 first tokens of the Board's advice came within 1,256 ms on its heaviest
-	// day, and come within 366.
+	// reportedMs is the same for a request that the server itself counts: among many gateways
+	// what one of them sends tells little of a server's load, and the home of a part that many
+	// ask for would never be left.
 	reportedMs = 3.0
 	// standIns is how many servers stand in for a home that is too loaded.
 	standIns = 3
