Soak: a request that a server itself turned away is not shed; gateways held up and stopped under a limit

Traced, logs of earlier starts kept for it: a server had answered 503 without running the request, and the gateway, just started, had spent its ratio of repeats, or the other servers were at their rates; it told 429 queue_full, which is true. The check took any 429 for a request shed by us. It passes over these now only where a worker has seen the request, and has not run it as before; what is shed by an expected wait stays a violation.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -57,13 +57,14 @@
 
 // gatewayProc is one gateway process.
 type gatewayProc struct {
-	host   string
-	ip     string
-	cmd    *exec.Cmd
-	log    *lockedBuffer
-	exited chan struct{}
-	code   int
-	start  atomic.Int64 // process ID of the newest start
+	host    string
+	ip      string
+	cmd     *exec.Cmd
+	log     *lockedBuffer // of the newest start
+	earlier lockedBuffer  // of the starts before
+	exited  chan struct{}
+	code    int
+	start   atomic.Int64 // process ID of the newest start
 }
 
 func (g *gatewayProc) pid() int { return int(g.start.Load()) }
@@ -309,6 +310,9 @@
 	if err := f.writeSettings(g, 5); err != nil {
 		return err
 	}
+	if g.log != nil {
+		_, _ = g.earlier.Write([]byte(g.log.String())) // a buffer does not fail
+	}
 	g.log, g.exited = &lockedBuffer{}, make(chan struct{})
 	g.cmd = exec.Command(filepath.Join(binaries, "merlinpost"), "gateway", "--log-one-in", "1")
 	g.cmd.Env = append(os.Environ(), "MERLINPOST_NODE_FILE="+f.settingsFile(g))
--- a/e2e/gatewaysoak_checks_test.go
+++ b/e2e/gatewaysoak_checks_test.go
@@ -23,6 +23,11 @@
 		return // broken off, and seen to be
 	case a.status == 200 && a.body != want(route, id):
 		s.violate("%s got a success that is not its answer: %q", id, a.body)
+	case a.status == 429 && strings.Contains(a.body, `"queue_full"`):
+		// A server itself turned it away, which checkRuns looks up, and the ratio of repeats left no other send.
+		s.mu.Lock()
+		s.turnedAway[id], s.notRun[id] = true, true
+		s.mu.Unlock()
 	case a.status == 429 && route != "report" && !strings.Contains(a.body, `"server_rate_limit"`):
 		s.violate("%s was shed for load; only requests that may wait are", id)
 	case a.status == 429 || a.status == 503:
@@ -135,6 +140,17 @@
 
 // checkRuns compares what the workers ran with what callers were told.
 func (s *gatewaySoak) checkRuns() {
+	arrived := map[string]bool{}
+	for _, w := range s.workers {
+		for _, a := range w.Arrivals() {
+			arrived[a.ID] = true
+		}
+	}
+	for id := range s.turnedAway {
+		if !arrived[id] {
+			s.violate("%s was told that a server had turned it away, and reached none", id)
+		}
+	}
 	ran := map[string]int{}
 	for _, w := range s.workers {
 		for _, r := range w.Runs() {
--- a/e2e/gatewaysoak_test.go
+++ b/e2e/gatewaysoak_test.go
@@ -30,9 +30,10 @@
 // failedSeeds are seeds of the soak that failed once, with the cause that was
 // mended; each is played again by the test command.
 var failedSeeds = map[uint64]string{
-	1:   "SIGHUP ended a process that had not installed its handlers yet",
-	307: "an interactive request was told 429, as for load, while its engines could not be used",
-	5:   "the soak's own: an engine was told to give plain answers, which streams were compared with",
+	1:    "SIGHUP ended a process that had not installed its handlers yet",
+	307:  "an interactive request was told 429, as for load, while its engines could not be used",
+	1031: "told 429 because a server had turned it away and the others were at their rates; the soak's own check",
+	5:    "the soak's own: an engine was told to give plain answers, which streams were compared with",
 }
 
 // gatewaySoak is a seeded series of failures over gateways as processes while
@@ -46,6 +47,7 @@
 
 	mu         sync.Mutex
 	notRun     map[string]bool // told 429 or 503
+	turnedAway map[string]bool // told that a server itself had turned them away
 	asked      []worker.Arrival
 	answers    int
 	restarts   int
@@ -108,7 +110,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &gatewaySoak{fleet: f, seed: seed, begin: time.Now(), notRun: map[string]bool{}, workers: append([]*worker.Worker(nil), f.workers...)}
+	s := &gatewaySoak{fleet: f, seed: seed, begin: time.Now(), notRun: map[string]bool{}, turnedAway: map[string]bool{}, workers: append([]*worker.Worker(nil), f.workers...)}
 	ctx, cancel := context.WithTimeout(context.Background(), *gatewaySoakFor)
 	defer cancel()
 	var duties sync.WaitGroup
@@ -149,7 +151,7 @@
 	id, _, _ := strings.Cut(violation, " ")
 	var out []string
 	for _, g := range s.gateways {
-		for _, line := range strings.Split(g.log.String(), "\n") {
+		for _, line := range strings.Split(g.earlier.String()+g.log.String(), "\n") {
 			if strings.Contains(line, `"id":"`+id+`"`) {
 				out = append(out, g.host+" "+line)
 			}
--- a/e2e/notices_test.go
+++ b/e2e/notices_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -217,6 +218,33 @@
 	}
 	for _, route := range []string{"list", "advice"} {
 		play("restarts", route, 2, (*speakers).restartAll)
+		play("freezes", route, 8, (*speakers).freezeAll)
+		play("planned stops", route, 9, (*speakers).stopAll)
+	}
+}
+
+// freezeAll holds one gateway after the other up while requests are sent.
+func (s *speakers) freezeAll() {
+	s.kills = true
+	for _, g := range s.gateways {
+		_ = g.cmd.Process.Signal(syscall.SIGSTOP) // ours, and running
+		s.askFor(time.Second)
+		_ = g.cmd.Process.Signal(syscall.SIGCONT)
+		s.askFor(time.Second)
+	}
+}
+
+// stopAll stops and starts one gateway after the other while requests are sent to those that are ready.
+func (s *speakers) stopAll() {
+	s.kills = true
+	for _, g := range s.gateways {
+		_ = g.cmd.Process.Signal(syscall.SIGTERM)
+		s.askFor(500 * time.Millisecond)
+		<-g.exited
+		if err := s.start(g); err != nil {
+			s.t.Fatal(err)
+		}
+		s.askFor(time.Second)
 	}
 }
 
