Tell of the servers' rates where they are why a request is refused; ask limited servers once in 5 s

Servers that state less than 0.2 a second, or 0, are asked at 0.2 instead of 0.1, within the 5 in 4 s that any limit allows, so that its end is known after 5 s.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -135,13 +135,13 @@
 }
 
 // finalOf is the answer where the request is not sent again: what became of the last send, if there
-// was one, unless the request is quarantined or, having run nowhere, finds all servers at rest: that
-// tells when to come back.
+// was one, unless the request is quarantined or, having run nowhere, finds all servers at rest or at their
+// rates: that tells when to come back.
 func finalOf(last, err error) error {
 	switch {
 	case last == nil, fault.Is(err, fault.Quarantined):
 		return err
-	case fault.Is(err, fault.ServersRest) && fault.From(last).Outcome == fault.NotRun:
+	case (fault.Is(err, fault.ServersRest) || fault.Is(err, fault.ServerRate)) && fault.From(last).Outcome == fault.NotRun:
 		return err
 	}
 	return last
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -55,6 +55,16 @@
 		Expect(r.runs()).To(HaveLen(1))
 	})
 
+	It("is why a request is refused that another server has turned away", func() {
+		r := started(2)
+		r.workers[1].Behave(worker.Behaviour{Refuse: true})
+		r.gateway.UsePeers(&decider{answers: []permit.Answer{{Verdict: permit.Granted, Engine: "i-1"},
+			{Verdict: permit.Refused, Limited: 1, Wait: 3 * time.Second}}})
+		a := r.post("/stream/", "a")
+		Expect(a.body).To(ContainSubstring("server_rate_limit"))
+		Expect(a.header.Get("Retry-After")).To(Equal("3.000"))
+	})
+
 	It("has plain requests ask for leave, which all gateways share", func() {
 		r := started(2)
 		d := &decider{answers: []permit.Answer{{Verdict: permit.Granted, Engine: "i-1"}}}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -22,7 +22,7 @@
 	depthFor = 250 * time.Millisecond
 	// leastRate is the rate at which a server is asked whatever it states, in requests a second: one that
 	// is asked nothing can't take its limit back.
-	leastRate = 0.1
+	leastRate = 0.2
 	// shortestLoan is how long a share is lent at least, loanPerGateway how much longer for each gateway:
 	// who decides for a server hears each of them several times in a loan.
 	shortestLoan   = 2500 * time.Millisecond
