--- a/internal/notice/board_test.go
+++ b/internal/notice/board_test.go
@@ -1,10 +1,12 @@
 package notice
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/merlinpost/merlinpost/internal/ratelimit"
 )
@@ -191,3 +193,27 @@
 	b.Heard(server, limit(1), at(0), at(100))
 	b.Sweep(func(s string) bool { return !b.Draining(s) }, at(200))
 }
+
+// Datagrams overtake each other: the newest word counts, in whichever order and however often they come.
+func TestTheNewestWordCountsInWhicheverOrderWordsCome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const now = 100_000
+		b := newBoard()
+		b.Told(Told{Server: server, Limited: true, Limit: 99, AgeMs: 90_000}, "edge-a", at(now))
+		ages := rapid.SliceOfNDistinct(rapid.IntRange(1, 80_000), 1, 8, rapid.ID).Draw(t, "ages")
+		words := make([]Told, len(ages))
+		for i, age := range ages {
+			words[i] = Told{Server: server, AgeMs: int64(age), Limited: rapid.Bool().Draw(t, "limited")}
+			if words[i].Limited {
+				words[i].Limit = float64(1 + i)
+			}
+		}
+		newest := slices.MinFunc(words, func(a, b Told) int { return int(a.AgeMs - b.AgeMs) })
+		for _, word := range append(rapid.Permutation(words).Draw(t, "first"), rapid.Permutation(words).Draw(t, "again")...) {
+			b.Told(word, "edge-a", at(now))
+		}
+		if got, _ := b.Of(server, at(now)); got.Limited != newest.Limited || newest.Limited && got.Limit != newest.Limit {
+			t.Fatalf("%+v, the newest is %+v", got, newest)
+		}
+	})
+}
