gateway: expose retry budget decisions in request logs and metrics

Operators could not see whether a failed request was denied a repeat, nor how much of a service's retry budget was in use: a denied repeat left no trace.

Each send in a request's log line now carries the retry budget's decision on the next send ("repeat": granted, taken, allowed). Decisions are counted by service, cause (not_run, may_have_run, broken_off) and verdict, and gauges report the repeats taken and allowed. Log lines for failures with a denied repeat have a separate rate limit. The budget's logic is unchanged.

--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -69,7 +69,12 @@
 // caller wished.
 func (g *Gateway) logFailure(q *request, e *fault.Error, status int) {
 	telemetry.Count("merlinpost_gateway_failures_total", "code", string(e.Code), "outcome", string(e.Outcome))
-	if !g.failureLines.Allow(string(e.Code), g.now()) {
+	kind := string(e.Code)
+	if q.repeatDenied() {
+		// A separate rate limit, so that other failures with this code do not suppress the line.
+		kind += " repeat denied"
+	}
+	if !g.failureLines.Allow(kind, g.now()) {
 		return
 	}
 	g.logger.Warn("request failed", append(g.fields(q),
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -15,6 +15,7 @@
 	"github.com/merlinpost/merlinpost/internal/placement"
 	"github.com/merlinpost/merlinpost/internal/quarantine"
 	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
 // outcome is what became of one send.
@@ -128,12 +129,28 @@
 	if ran >= q.route.MaxAttempts || try >= maxSends {
 		return last
 	}
-	if !g.budget(q.service).Take(g.now()) {
+	if !g.takeRepeat(q) {
 		return last
 	}
 	return nil
 }
 
+// takeRepeat asks the service's retry budget for a repeated send and reports whether it was granted. The
+// decision is recorded in the entry of the failed send and in metrics.
+func (g *Gateway) takeRepeat(q *request) bool {
+	d := g.budget(q.service).Take(g.now())
+	verdict := "denied"
+	if d.Granted {
+		verdict = "granted"
+	}
+	failed := q.lastSent()
+	failed.Repeat = &d
+	telemetry.Count("merlinpost_retry_budget_decisions_total", "service", q.service, "cause", failed.Result, "verdict", verdict)
+	telemetry.Gauge("merlinpost_retry_budget_taken", float64(d.Taken), "service", q.service)
+	telemetry.Gauge("merlinpost_retry_budget_allowed", d.Allowed, "service", q.service)
+	return d.Granted
+}
+
 // finalOf is the answer where the request is not sent again: what became of the last send, if there
 // was one, unless the request is quarantined or, having run nowhere, finds all servers at rest or at their
 // rates: that tells when to come back.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -136,6 +136,18 @@
 			Expect(arrivals).To(BeNumerically(">", 50))
 		})
 
+		It("logs the retry budget's decision with the failed send", func() {
+			r := started(2)
+			for _, w := range r.workers {
+				w.Behave(worker.Behaviour{Refuse: true})
+			}
+			for i := range 5 {
+				r.post("/again/x", fmt.Sprint("refused-", i))
+			}
+			Expect(r.log.String()).To(MatchRegexp(`"request failed","id":"refused-0".*"repeat":\{"granted":true,"taken":0,"allowed":2.2\}`))
+			Expect(r.log.String()).To(MatchRegexp(`"request failed","id":"refused-4".*"repeat":\{"granted":false,"taken":\d,"allowed":3\}`))
+		})
+
 		It("is passed over when the address belongs to another start", func() {
 			r := started(1)
 			r.servers.Replace([]registry.Server{
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,6 +12,7 @@
 	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/quarantine"
+	"github.com/merlinpost/merlinpost/internal/retrybudget"
 	"github.com/merlinpost/merlinpost/internal/routing"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
@@ -75,6 +76,24 @@
 	Ended bool `json:"ended,omitempty"`
 	// Said is what the server said of itself, nil for nothing.
 	Said *notice.Said `json:"said,omitempty"`
+	// Repeat is the retry budget's decision on repeating this send, nil if the budget was not consulted.
+	Repeat *retrybudget.Decision `json:"repeat,omitempty"`
+}
+
+// lastSent returns the most recent entry that names a server, or a new empty entry if there is none.
+func (q *request) lastSent() *send {
+	for i := len(q.sends) - 1; i >= 0; i-- {
+		if q.sends[i].Server != "" {
+			return &q.sends[i]
+		}
+	}
+	return &send{}
+}
+
+// repeatDenied reports whether the retry budget denied a repeat of the last send.
+func (q *request) repeatDenied() bool {
+	d := q.lastSent().Repeat
+	return d != nil && !d.Granted
 }
 
 // sharedPart returns the ID of the prompt part that placement goes by.
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -42,8 +42,17 @@
 	b.requests[b.at(now)]++
 }
 
-// Take takes one repeated send; false when the budget is spent.
-func (b *Budget) Take(now time.Time) bool {
+// Decision is the result of Take, with the figures it is based on.
+type Decision struct {
+	Granted bool `json:"granted"`
+	// Taken is the number of repeats granted in the window before this decision.
+	Taken int `json:"taken"`
+	// Allowed is the limit on repeats in the window; it may be fractional.
+	Allowed float64 `json:"allowed"`
+}
+
+// Take grants one repeated send and counts it, or denies it if the budget is exhausted.
+func (b *Budget) Take(now time.Time) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.at(now)
@@ -55,11 +64,13 @@
 			requests += b.requests[j]
 		}
 	}
-	if float64(repeats+1) > b.settings.Ratio*float64(requests)+b.settings.Spare {
-		return false
+	d := Decision{Taken: repeats, Allowed: b.settings.Ratio*float64(requests) + b.settings.Spare}
+	if float64(repeats+1) > d.Allowed {
+		return d
 	}
 	b.repeats[i]++
-	return true
+	d.Granted = true
+	return d
 }
 
 // at moves the window on to now and returns the index of the newest bucket.
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -21,7 +21,7 @@
 			if rapid.IntRange(0, 3).Draw(t, "repeat") > 0 {
 				b.Request(now)
 				requests = append(requests, now)
-			} else if b.Take(now) {
+			} else if b.Take(now).Granted {
 				repeats = append(repeats, now)
 			}
 			span := func(times []time.Time) (n int) {
@@ -43,17 +43,17 @@
 	g := NewWithT(t)
 	now := time.Now()
 	b := New(Settings{Ratio: 0.5, Window: 10 * time.Second, Spare: 1}, now)
-	g.Expect(b.Take(now)).To(BeTrue())
-	g.Expect(b.Take(now)).To(BeFalse())
-	g.Expect(b.Take(now.Add(11 * time.Second))).To(BeTrue())
+	g.Expect(b.Take(now).Granted).To(BeTrue())
+	g.Expect(b.Take(now).Granted).To(BeFalse())
+	g.Expect(b.Take(now.Add(11 * time.Second)).Granted).To(BeTrue())
 	now = now.Add(time.Hour)
 	for range 10 {
 		b.Request(now)
 	}
 	for range 6 {
-		g.Expect(b.Take(now)).To(BeTrue())
+		g.Expect(b.Take(now).Granted).To(BeTrue())
 	}
-	g.Expect(b.Take(now)).To(BeFalse())
+	g.Expect(b.Take(now).Granted).To(BeFalse())
 }
 
 // Within a moment, too, a budget never gives more than its spare and its share.
@@ -64,7 +64,7 @@
 		requests, retries := 0, 0
 		for range rapid.IntRange(1, 500).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "retry") {
-				if b.Take(now) {
+				if b.Take(now).Granted {
 					retries++
 				}
 			} else {
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -283,5 +283,5 @@
 func (c *call) Retry() bool {
 	c.router.mu.Lock()
 	defer c.router.mu.Unlock()
-	return c.router.budget.Take(time.Now())
+	return c.router.budget.Take(time.Now()).Granted
 }
