Enforce the retry budget in any window and across all gateways

Symptom: at the end of a burst, and while gateways are killed in turn, a service receives more repeated sends in a window than the ratio and the slack allow.

Cause: on each repeat, a gateway compared its own repeats of the last 10 s with its own requests of the last 10 s, but the rule holds for any window. Requests of a burst paid for repeats after the burst. Callers that moved to another gateway paid again there, while their requests still counted at the first. Each process start had a spare allowance of its own and forgot the repeats of the previous process; a settings reload did the same. Class of fault: a bound on any window for all processes together, enforced by the look-back of one process. Ruled out: sends that no budget granted (the totals of arrivals and grants agree).

Change: a gateway pays for a repeat from two sources whose sums hold across all gateways however callers move between them: - a token bucket, to which each request adds 0.4 of the ratio; - the requests of the previous window, with the other 0.6 of the ratio, checked for every window that contains the current time. A process starts with both empty. The depths of all buckets together are 0.35 of the slack (bounds.budget_slack), and their refill without requests is 0.4 of it, in equal shares among the gateways that may be running. The rest covers sends that arrive late. A gateway has no share until the others know of it, gives it up before it announces that it leaves, and keeps it for an hour after it falls silent. Requests that a process takes in after a stall pay for nothing.

Tests: those that relied on repeats immediately after a start now use a budget that requests pay for immediately. The property test of the look-back is replaced by a stricter one, for any window and for many gateways.

New processes repeat less than before: they have no share of the slack for 2.5 s and earn from nothing.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -281,7 +281,7 @@
 
 func (f *fleet) settingsFile(g *gatewayProc) string { return filepath.Join(f.dir, g.host+".conf") }
 
-// budgetSlack is bounds.budget_slack: what all gateways together may repeat in a window beyond the ratio.
+// budgetSlack is bounds.budget_slack: the repeats that all gateways together may send in a window beyond the ratio.
 const budgetSlack = 12
 
 // writeSettings writes a gateway's settings file.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,8 +70,12 @@
 	trials       Trials // nil: this gateway is alone
 
 	mu      sync.Mutex
-	budgets map[string]*retrybudget.Budget   // by service
-	answers map[string]*placement.AnswerTime // by route
+	budgets map[string]*retrybudget.Budget // by service
+	// slackShare is this gateway's fraction of the slack of each budget.
+	slackShare float64
+	// stalledUntil is the time until which requests do not add to the budgets.
+	stalledUntil time.Time
+	answers      map[string]*placement.AnswerTime // by route
 }
 
 // New returns a gateway that knows no configuration and no servers yet.
@@ -81,7 +85,7 @@
 		pool: exchange.NewPool(time.Now, func() {
 			telemetry.Count("merlinpost_backend_connections_opened_total")
 		}),
-		budgets: map[string]*retrybudget.Budget{},
+		budgets: map[string]*retrybudget.Budget{}, slackShare: 1,
 		answers: map[string]*placement.AnswerTime{},
 		ends:    endChecks{byStart: map[string]*endCheck{}, unclear: map[string][]brokenRun{}},
 		ledger:  quarantine.New(),
@@ -109,9 +113,41 @@
 		g.logger.Warn("new addresses are used from the next start on", "callers", set.Callers)
 	}
 	if old.Retries != set.Retries {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		clear(g.budgets) // they start anew under the new bounds
+		g.eachBudget(func(b *retrybudget.Budget) { b.SetSettings(set.Retries, g.now()) })
+	}
+}
+
+// SetGateways sets the number of gateways, including this one, that share the slack of the retry budgets;
+// 0 while this gateway has no share.
+func (g *Gateway) SetGateways(n int) {
+	share := 0.0
+	if n > 0 {
+		share = 1 / float64(n)
+	}
+	g.mu.Lock()
+	changed := g.slackShare != share
+	g.slackShare = share
+	g.mu.Unlock()
+	if changed {
+		g.eachBudget(func(b *retrybudget.Budget) { b.SetShare(share, g.now()) })
+	}
+}
+
+// Stalled reports that the process was stalled since the given time. Requests that arrived during the stall may
+// be old, so requests counted until the backlog is processed do not add to the retry budgets.
+func (g *Gateway) Stalled(since, until time.Time) {
+	g.mu.Lock()
+	g.stalledUntil = until
+	g.mu.Unlock()
+	g.eachBudget(func(b *retrybudget.Budget) { b.Stalled(since, until, g.now()) })
+}
+
+// eachBudget calls do for the budget of every service.
+func (g *Gateway) eachBudget(do func(*retrybudget.Budget)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.budgets {
+		do(b)
 	}
 }
 
@@ -162,7 +198,12 @@
 }
 
 func (g *Gateway) budget(service string) *retrybudget.Budget {
-	return of(g, g.budgets, service, func() *retrybudget.Budget { return retrybudget.New(g.settings.Load().Retries, g.now()) })
+	return of(g, g.budgets, service, func() *retrybudget.Budget {
+		now := g.now()
+		b := retrybudget.New(g.settings.Load().Retries, g.slackShare, now)
+		b.Stalled(now, g.stalledUntil, now)
+		return b
+	})
 }
 
 func (g *Gateway) answerTime(route string) *placement.AnswerTime {
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -60,6 +60,7 @@
 		r.workers[1].Behave(worker.Behaviour{Refuse: true})
 		r.gateway.UsePeers(&decider{answers: []permit.Answer{{Verdict: permit.Granted, Engine: "i-1"},
 			{Verdict: permit.Refused, Limited: 1, Wait: 3 * time.Second}}})
+		r.gateway.SetGateways(1)
 		a := r.post("/stream/", "a")
 		Expect(a.body).To(ContainSubstring("server_rate_limit"))
 		Expect(a.header.Get("Retry-After")).To(Equal("3.000"))
@@ -69,6 +70,7 @@
 		r := started(2)
 		d := &decider{answers: []permit.Answer{{Verdict: permit.Granted, Engine: "i-1"}}}
 		r.gateway.UsePeers(d)
+		r.gateway.SetGateways(1)
 		r.workers[0].Say("Server-Limit: 1")
 		Eventually(func() int {
 			Expect(r.post("/once/", "a").status).To(Equal(200))
@@ -81,6 +83,7 @@
 	It("goes by its own share where nobody decides", func() {
 		r := started(1)
 		r.gateway.UsePeers(&decider{answers: []permit.Answer{{Verdict: permit.Granted}}})
+		r.gateway.SetGateways(1)
 		r.workers[0].Say("Server-Limit: 0.2")
 		Expect(ask(r, "/again/", 20)).To(Equal(map[int]int{200: 1, 429: 19}))
 		Expect(ask(r, "/stream/", 20)).To(Equal(map[int]int{429: 20}))
@@ -152,6 +155,7 @@
 			r.gateway.Notices().Told(notice.Told{Server: "i-0", Draining: true}, "edge-b", time.Now())
 		}
 		r.gateway.UsePeers(d)
+		r.gateway.SetGateways(1)
 		Expect(r.post("/stream/", "a").status).To(Equal(200))
 		Expect(r.workers[0].Asked()).To(BeZero())
 		Expect(d.asked()[1].Avoid).To(Equal([]string{"i-0"}))
@@ -219,6 +223,7 @@
 		r := started(2)
 		d := &decider{answers: []permit.Answer{{Verdict: permit.Granted, Engine: "i-0"}, {Verdict: permit.Granted, Engine: "i-1"}}}
 		r.gateway.UsePeers(d)
+		r.gateway.SetGateways(1)
 		r.workers[0].Behave(refusing)
 		Expect(r.post("/stream/", "a").status).To(Equal(200))
 		Expect(r.post("/stream/", "b").status).To(Equal(200))
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -45,7 +45,10 @@
 
 // UsePeers has the gateway ask for leave before it sends prompts. It is called before
 // Serve.
-func (g *Gateway) UsePeers(p Peers) { g.peers = p }
+func (g *Gateway) UsePeers(p Peers) {
+	g.peers = p
+	g.SetGateways(0) // no share of the slack until the other gateways know of this one
+}
 
 // Notices returns what the gateway knows that servers say of themselves.
 func (g *Gateway) Notices() *notice.Board { return g.notices }
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -52,6 +52,7 @@
 		r := started(workers)
 		d := &decider{answers: answers}
 		r.gateway.UsePeers(d)
+		r.gateway.SetGateways(1)
 		return r, d
 	}
 	granted := func(engine string) permit.Answer { return permit.Answer{Verdict: permit.Granted, Engine: engine} }
@@ -158,6 +159,7 @@
 		duty.Go(func() { p.Run(ctx) })
 		DeferCleanup(func() { cancel(); duty.Wait() })
 		r.gateway.UsePeers(p)
+		r.gateway.SetGateways(1)
 		for _, id := range []string{"r1", "r2", "r3"} {
 			Expect(r.post("/report/x", id).status).To(Equal(200))
 		}
--- a/internal/peers/beats.go
+++ b/internal/peers/beats.go
@@ -92,6 +92,7 @@
 func (p *Peers) Leave() {
 	p.mu.Lock()
 	p.leaving = true
+	p.local.SetGateways(0) // before the other gateways redistribute its share of the slack
 	p.mu.Unlock()
 	p.beat(nil)
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -43,6 +43,11 @@
 	// countedFor is how long a member that is not heard keeps its share of rates: it may be cut off from
 	// here and go on sending. Without an end, the shares of hosts that are gone for good would be lost.
 	countedFor = time.Minute
+	// slackCountedFor is how long a silent member keeps its share of the retry budgets' slack.
+	slackCountedFor = time.Hour
+	// joinDelay is how long a gateway uses none of the slack after it is first listed in the store, so that
+	// the others learn of it first. joinBeats is the same delay in heartbeat intervals; the longer one applies.
+	joinDelay, joinBeats = 2500 * time.Millisecond, 2.5
 )
 
 // members is the list of gateways as this one sees it. It is not safe for
@@ -51,6 +56,10 @@
 	self  Member
 	start time.Time
 	known map[string]*presence // by host, without self
+	// listed is when the store first listed this gateway.
+	listed time.Time
+	// stalledAt is the end of the last stall of this process. It received no heartbeats during the stall.
+	stalledAt time.Time
 }
 
 // presence is what is known of another gateway.
@@ -77,6 +86,9 @@
 func (m *members) list(all []Member, now time.Time) {
 	for _, member := range all {
 		if member.Host == m.self.Host {
+			if m.listed.IsZero() {
+				m.listed = now
+			}
 			continue
 		}
 		if p := m.presence(member); p.listed.IsZero() {
@@ -139,6 +151,35 @@
 	return n
 }
 
+// recordStall records that this process was stalled until now.
+func (m *members) recordStall(now time.Time) { m.stalledAt = now }
+
+// sharingSlack returns the number of gateways, including this one, that share the slack of the retry budgets;
+// 0 while the others may not know of this one. A silent member may be partitioned and still use its share, so
+// it is counted for slackCountedFor, and for as long as at least a third of all gateways are silent.
+func (m *members) sharingSlack(now time.Time) int {
+	if m.listed.IsZero() || now.Sub(m.listed) < max(joinDelay, time.Duration(joinBeats*float64(m.beatEvery()))) {
+		return 0
+	}
+	all, live, counted := 1, 1, 1
+	for _, p := range m.known {
+		if p.leaving {
+			continue
+		}
+		all++
+		if m.isLive(p, now) {
+			live++
+		}
+		if now.Sub(p.lastSign()) <= slackCountedFor || now.Sub(m.stalledAt) <= slackCountedFor {
+			counted++
+		}
+	}
+	if 3*live <= 2*all {
+		return all
+	}
+	return counted
+}
+
 // lastSign is when the member was heard or listed last.
 func (p *presence) lastSign() time.Time {
 	if p.heard.After(p.listed) {
--- a/internal/peers/notices.go
+++ b/internal/peers/notices.go
@@ -102,11 +102,28 @@
 	}
 }
 
+// updateSlackShare sets the number of gateways that share the slack of the retry budgets.
+func (p *Peers) updateSlackShare(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leaving {
+		return // Leave has given the share up
+	}
+	p.local.SetGateways(p.members.sharingSlack(now))
+}
+
 // noteStall gives borrowed shares back where this process has been held up: their owners may have
 // taken them back long ago, and the loans that have waited here meanwhile are as old.
 func (p *Peers) noteStall(now time.Time) {
-	stalled := !p.loans.looked.IsZero() && now.Sub(p.loans.looked) > stalledAfter
+	looked := p.loans.looked
+	stalled := !looked.IsZero() && now.Sub(looked) > stalledAfter
 	p.loans.looked = now
+	if stalled {
+		p.mu.Lock()
+		p.members.recordStall(now)
+		p.mu.Unlock()
+		p.local.Stalled(looked, now.Add(stalledFor))
+	}
 	if stalled && !p.board.Empty() {
 		telemetry.Count("merlinpost_rate_shares_returned_total")
 		p.board.Limits().Return(now)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -84,6 +84,12 @@
 	Notices() *notice.Board
 	// Limited lists the servers that state a rate, by the group to which they belong.
 	Limited() map[permit.Group][]string
+	// SetGateways sets the number of gateways, including this one, that share the slack of the retry
+	// budgets; 0 while this gateway has no share.
+	SetGateways(n int)
+	// Stalled reports that the process was stalled since the given time and processes the backlog until
+	// the other.
+	Stalled(since, until time.Time)
 }
 
 // received is a datagram and its sender.
@@ -180,6 +186,7 @@
 		for _, due := range p.desk.Next(now) {
 			p.answer(due.Answer, due.To)
 		}
+		p.updateSlackShare(now)
 		p.beatIfDue(now)
 		p.tellRequests(now)
 		p.tellNotices(now)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -47,6 +47,8 @@
 }
 
 func (local) Limited() map[permit.Group][]string { return nil }
+func (local) SetGateways(int)                    {}
+func (local) Stalled(time.Time, time.Time)       {}
 
 func (local) Engines(permit.Group) []permit.Engine {
 	return []permit.Engine{{ID: "engine", Open: true}}
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -1,90 +1,212 @@
-// Package retrybudget bounds the repeated sends of a service to a share of its
-// requests over a sliding window. Each gateway keeps to the share of its own
-// requests, so that all gateways together keep to it without talking.
+// Package retrybudget bounds the repeated sends to a service, in any window and over all gateways together, to
+// a ratio of its requests plus a slack. It uses no clock and no network.
+//
+// A gateway pays for each repeat from two sources, without knowing those of the other gateways:
+//
+//   - a token bucket, to which each request adds one part of the ratio. In any window it pays for at most its
+//     depth, its refill and that part of the ratio times the requests in the window;
+//   - the requests of the previous window, with the rest of the ratio. In any window it pays for at most that
+//     rest times the requests of the previous window.
+//
+// Both bounds are sums over requests, so they hold for all gateways together when gateways start or stop and
+// when callers move between them: every gateway assigns a request to the same window. The depths and refills of
+// all buckets together are a part of the slack.
 package retrybudget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
-// Settings are the bounds of a budget.
+// Settings are the bounds of a service's budget for all gateways together.
 type Settings struct {
 	// Ratio is the share of repeated sends to requests.
 	Ratio float64
 	// Window is the span over which both are counted.
 	Window time.Duration
-	// Spare is what one gateway may repeat in a window whatever its requests.
-	Spare float64
+	// Slack is the number of repeats in a window beyond the ratio.
+	Slack float64
 }
 
-// buckets is the number of steps of the sliding window. The window that is
-// counted is up to one step longer, which errs to the safe side for repeats.
-const buckets = 20
+const (
+	// bucketRatio is the part of the ratio that requests add to the token bucket.
+	bucketRatio = 0.4
+	// depthSlack and refillSlack are the parts of the slack used for the depths of all buckets together and
+	// for their refill per window without requests. The rest covers sends that arrive later than they were
+	// granted and requests that are counted later than they were sent.
+	depthSlack, refillSlack = 0.35, 0.4
+	// SlackInUse is the part of the slack that all gateways together use unless one counts too few of them.
+	SlackInUse = depthSlack + refillSlack
+	// stepsPerWindow is the resolution at which requests and repeats are counted.
+	stepsPerWindow = 40
+	// steps is the number of steps kept: two windows, and the partial steps at their ends.
+	steps = 2*stepsPerWindow + 2
+	// tolerance absorbs floating-point rounding.
+	tolerance = 1e-9
+)
 
-// Budget counts one service. It is safe for concurrent use.
+// Budget is the budget of one service at one gateway. It is safe for concurrent use.
 type Budget struct {
 	mu       sync.Mutex
 	settings Settings
+	share    float64 // fraction of the slack
 	start    time.Time
-	step     int64 // number of the newest bucket
-	requests [buckets + 1]int
-	repeats  [buckets + 1]int
-}
 
-// New returns a budget that starts at now.
-func New(s Settings, now time.Time) *Budget { return &Budget{settings: s, start: now} }
+	tokens   float64
+	tokensAt time.Time
 
-// Request counts a request for the service.
-func (b *Budget) Request(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.requests[b.at(now)]++
+	step         int64 // number of the newest step
+	requests     [steps]int
+	granted      [steps]int
+	fromPrevious [steps]float64 // repeats paid for by the requests of the previous window
+	// ignoreUntil is the time until which requests are not counted.
+	ignoreUntil time.Time
 }
 
-// Decision is the result of Take, with the figures it is based on.
+// Decision is the result of Take and the numbers that it is based on.
 type Decision struct {
 	Granted bool `json:"granted"`
-	// Taken is the number of repeats granted in the window before this decision.
+	// Taken is the number of repeats that this gateway has granted in the window, excluding this one.
 	Taken int `json:"taken"`
-	// Allowed is the limit on repeats in the window; it may be fractional.
+	// Allowed is Taken plus the number of repeats that the budget still permits.
 	Allowed float64 `json:"allowed"`
 }
 
+// New returns an empty budget that starts at now. Share is this gateway's fraction of the slack.
+func New(s Settings, share float64, now time.Time) *Budget {
+	return &Budget{settings: s, share: share, start: now, tokensAt: now}
+}
+
+// SetSettings changes the bounds. Counts are kept unless the length of the window changes.
+func (b *Budget) SetSettings(s Settings, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if s.Window != b.settings.Window {
+		b.reset(now)
+	}
+	b.settings = s
+	b.tokens = min(b.tokens, b.depth())
+}
+
+// SetShare sets this gateway's fraction of the slack.
+func (b *Budget) SetShare(share float64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.share = share
+	b.tokens = min(b.tokens, b.depth())
+}
+
+// Stalled reports that the process was stalled since the given time. Requests counted between since and until
+// may be old: they do not add to the budget, and the bucket is emptied.
+func (b *Budget) Stalled(since, until, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.tokens = 0
+	b.ignoreUntil = until
+	for n := max(b.stepOf(since), b.step-steps+1); n <= b.step; n++ {
+		b.requests[index(n)] = 0
+	}
+}
+
+// Request counts a request for the service.
+func (b *Budget) Request(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if now.Before(b.ignoreUntil) {
+		return
+	}
+	b.requests[index(b.step)]++
+	b.tokens = min(b.tokens+bucketRatio*b.settings.Ratio, b.depth())
+}
+
 // Take grants one repeated send and counts it, or denies it if the budget is exhausted.
 func (b *Budget) Take(now time.Time) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	i := b.at(now)
-	oldest := (i + 1) % len(b.requests)
-	requests, repeats := 0, 0
-	for j := range b.requests {
-		repeats += b.repeats[j]
-		if j != oldest { // partly outside the window: counts only against us
-			requests += b.requests[j]
-		}
-	}
-	d := Decision{Taken: repeats, Allowed: b.settings.Ratio*float64(requests) + b.settings.Spare}
-	if float64(repeats+1) > d.Allowed {
+	b.advance(now)
+	d := b.decision()
+	fromPrevious := max(0, 1-b.tokens)
+	if fromPrevious > b.previousCredit()+tolerance {
 		return d
 	}
-	b.repeats[i]++
+	b.tokens = max(0, b.tokens-1)
+	b.fromPrevious[index(b.step)] += fromPrevious
+	b.granted[index(b.step)]++
 	d.Granted = true
 	return d
 }
 
-// at moves the window on to now and returns the index of the newest bucket.
-func (b *Budget) at(now time.Time) int {
-	// The difference of two readings goes by the steady clock.
-	step := int64(now.Sub(b.start) / (b.settings.Window / buckets))
-	if step-b.step > buckets {
-		b.requests, b.repeats = [buckets + 1]int{}, [buckets + 1]int{}
-		b.step = step
+// decision returns the current numbers with Granted unset.
+func (b *Budget) decision() Decision {
+	taken := 0
+	for n := b.step - stepsPerWindow; n <= b.step; n++ {
+		taken += b.granted[index(n)]
+	}
+	return Decision{Taken: taken, Allowed: math.Round(100*(float64(taken)+b.available())) / 100}
+}
+
+// available returns the number of repeats that the budget permits now.
+func (b *Budget) available() float64 { return b.tokens + b.previousCredit() }
+
+// previousCredit returns the number of repeats that the requests of the previous window can still pay for: the
+// minimum over all windows that contain the current time. A step that is only partly in a window counts for its
+// repeats but not for its requests.
+func (b *Budget) previousCredit() float64 {
+	ratio := (1 - bucketRatio) * b.settings.Ratio
+	before := 0 // requests of the window before the one that starts in step n
+	for n := b.step - stepsPerWindow + 1; n < b.step; n++ {
+		before += b.requests[index(n)]
+	}
+	spent := 0.0
+	least := ratio * float64(before)
+	for n := b.step; n >= b.step-stepsPerWindow; n-- {
+		spent += b.fromPrevious[index(n)]
+		least = min(least, ratio*float64(before)-spent)
+		before += b.requests[index(n-stepsPerWindow)] - b.requests[index(n-1)]
+	}
+	return max(0, least)
+}
+
+// depth returns the capacity of the bucket.
+func (b *Budget) depth() float64 { return depthSlack * b.settings.Slack * b.share }
+
+// refill returns the tokens that the bucket gains per second without requests.
+func (b *Budget) refill() float64 {
+	return refillSlack * b.settings.Slack * b.share / b.settings.Window.Seconds()
+}
+
+// advance refills the bucket and clears the steps that have expired by now.
+func (b *Budget) advance(now time.Time) {
+	if elapsed := now.Sub(b.tokensAt); elapsed > 0 {
+		b.tokens = min(b.tokens+b.refill()*elapsed.Seconds(), b.depth())
+		b.tokensAt = now
+	}
+	step := b.stepOf(now)
+	if step-b.step >= steps {
+		b.step = step - steps // all steps have expired
 	}
 	for b.step < step {
 		b.step++
-		i := int(b.step % int64(len(b.requests)))
-		b.requests[i], b.repeats[i] = 0, 0
+		i := index(b.step)
+		b.requests[i], b.granted[i], b.fromPrevious[i] = 0, 0, 0
 	}
-	return int(b.step % int64(len(b.requests)))
 }
+
+// reset empties the budget.
+func (b *Budget) reset(now time.Time) {
+	b.start, b.step, b.tokens = now, 0, 0
+	b.requests, b.granted, b.fromPrevious = [steps]int{}, [steps]int{}, [steps]float64{}
+}
+
+// stepOf returns the number of the step that contains t. The difference uses the monotonic clock.
+func (b *Budget) stepOf(t time.Time) int64 {
+	return int64(t.Sub(b.start) / (b.settings.Window / stepsPerWindow))
+}
+
+// index returns the ring buffer index of a step, which may be negative.
+func index(step int64) int { return int((step%steps + steps) % steps) }
--- /dev/null
+++ b/internal/retrybudget/days_test.go
@@ -0,0 +1,258 @@
+package retrybudget
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/merlinpost/merlinpost/internal/standin/retryrule"
+)
+
+// joinDelay is how long a gateway has no share of the slack after its start.
+const joinDelay = 2 * time.Second
+
+// segment is a part of a day with a constant load.
+type segment struct {
+	length    time.Duration
+	perSecond int
+	failing   float64 // share of the sends that fail
+	only      int     // the gateway that receives all requests, -1 for any
+}
+
+// fault is a failure, reload or membership change of a gateway.
+type fault struct {
+	at, lasts time.Duration
+	kind      string
+	gateway   int
+}
+
+// day is a simulated run: the load on some gateways and their faults.
+type day struct {
+	rule     retryrule.Rule
+	gateways int
+	segments []segment
+	faults   []fault
+	seed     uint64
+}
+
+// drawDay draws a day from a seed. The draws are uniform: rapid's own favour small values, which give days
+// without repeats.
+func drawDay(seed uint64) day {
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	ms := func(from, to int) time.Duration { return time.Duration(from+rnd.IntN(to-from)) * time.Millisecond }
+	d := day{seed: seed, gateways: 1 + rnd.IntN(8),
+		rule: retryrule.Rule{Ratio: pick(rnd, 0.05, 0.2, 0.5), Window: 10 * time.Second, Slack: pick(rnd, 0.0, 2, 12, 52)}}
+	for range 3 + rnd.IntN(4) {
+		only := -1
+		if rnd.IntN(3) == 0 {
+			only = rnd.IntN(d.gateways)
+		}
+		d.segments = append(d.segments, segment{ms(500, 15000), pick(rnd, 2, 10, 50, 100, 200), pick(rnd, 0, 0, 0.3, 1, 1), only})
+	}
+	for range pick(rnd, 0, 1, 3, 10, 30) {
+		d.faults = append(d.faults, fault{ms(0, 60000), ms(100, 6000), pick(rnd, "kill", "kill", "stall", "reload", "join", "leave"), rnd.IntN(d.gateways)})
+	}
+	return d
+}
+
+func pick[T any](rnd *rand.Rand, of ...T) T { return of[rnd.IntN(len(of))] }
+
+// node is a simulated gateway.
+type node struct {
+	budget      *Budget
+	joins       time.Time // when it gets its share of the slack
+	joined      bool
+	leaving     bool
+	stalledFrom time.Time
+	stalledTo   time.Time
+	queued      []time.Time // requests sent during a stall
+}
+
+// simulation is the state of a running day.
+type simulation struct {
+	day
+	settings Settings
+	rnd      *rand.Rand
+	now      time.Time
+	nodes    []*node
+	requests []time.Time
+	repeats  []time.Time
+	failing  float64
+}
+
+// step is the time step of the simulation.
+const step = 5 * time.Millisecond
+
+// play runs a day and returns the times of its requests and repeats.
+func (d day) play() (requests, repeats []time.Time) {
+	p := &simulation{day: d, settings: Settings{d.rule.Ratio, d.rule.Window, d.rule.Slack}, rnd: rand.New(rand.NewPCG(d.seed, 1)),
+		now: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)}
+	begin := p.now
+	for range d.gateways {
+		p.nodes = append(p.nodes, &node{budget: New(p.settings, 0, p.now), joins: p.now.Add(joinDelay)})
+	}
+	for _, s := range d.segments {
+		p.failing = s.failing
+		due := 0.0
+		for end := p.now.Add(s.length); p.now.Before(end); p.now = p.now.Add(step) {
+			for _, f := range d.faults {
+				if at := begin.Add(f.at); !at.Before(p.now) && at.Before(p.now.Add(step)) {
+					p.inject(f)
+				}
+			}
+			p.advance()
+			for due += float64(s.perSecond) * step.Seconds(); due >= 1; due-- {
+				n := p.rnd.IntN(len(p.nodes))
+				if s.only >= 0 {
+					n = s.only
+				}
+				p.request(p.nodes[n])
+			}
+		}
+	}
+	return p.requests, p.repeats
+}
+
+// inject applies a fault.
+func (p *simulation) inject(f fault) {
+	n := p.nodes[f.gateway]
+	switch f.kind {
+	case "kill":
+		*n = node{budget: New(p.settings, 0, p.now), joins: p.now.Add(joinDelay)}
+	case "stall":
+		n.stalledFrom, n.stalledTo = p.now, p.now.Add(f.lasts)
+	case "reload":
+		n.budget.SetSettings(p.settings, p.now)
+	case "join":
+		p.nodes = append(p.nodes, &node{budget: New(p.settings, 0, p.now), joins: p.now.Add(joinDelay)})
+	case "leave":
+		n.leaving = true
+		n.budget.SetShare(0, p.now)
+	}
+	p.share()
+}
+
+// share sets the shares of all gateways that have joined. Those that have not joined yet are counted.
+func (p *simulation) share() {
+	counted := 0
+	for _, n := range p.nodes {
+		if !n.leaving {
+			counted++
+		}
+	}
+	for _, n := range p.nodes {
+		if n.joined && !n.leaving && !p.stalled(n) {
+			n.budget.SetShare(1/float64(counted), p.now)
+		}
+	}
+}
+
+func (p *simulation) stalled(n *node) bool { return p.now.Before(n.stalledTo) }
+
+// advance ends the stalls and the join delays that are over. A gateway serves its queue when its stall ends.
+func (p *simulation) advance() {
+	for _, n := range p.nodes {
+		if !n.stalledTo.IsZero() && !p.stalled(n) {
+			for range n.queued {
+				p.serve(n)
+			}
+			n.budget.Stalled(n.stalledFrom, p.now.Add(200*time.Millisecond), p.now)
+			n.stalledTo, n.queued = time.Time{}, nil
+			p.share()
+		}
+		if !n.joined && !p.now.Before(n.joins) {
+			n.joined = true
+			p.share()
+		}
+	}
+}
+
+func (p *simulation) request(n *node) {
+	p.requests = append(p.requests, p.now)
+	if p.stalled(n) {
+		n.queued = append(n.queued, p.now)
+		return
+	}
+	p.serve(n)
+}
+
+// serve sends a request until a send succeeds, the budget denies a repeat or three repeats are sent.
+func (p *simulation) serve(n *node) {
+	n.budget.Request(p.now)
+	for range 3 {
+		if p.rnd.Float64() >= p.failing || !n.budget.Take(p.now).Granted {
+			return
+		}
+		p.repeats = append(p.repeats, p.now)
+	}
+}
+
+// In any window, the repeats of all gateways stay within the rule and within the stricter bound that each gateway
+// enforces, which splits the ratio between the requests of two windows. Only SlackInUse of the slack is allowed:
+// the rest is reserved for sends in flight, which the simulation does not have.
+func TestRepeatsOfAllGatewaysStayWithinTheRuleInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := drawDay(rapid.Uint64().Draw(t, "seed"))
+		requests, repeats := d.play()
+		if len(repeats) == 0 {
+			return
+		}
+		d.rule.Slack *= SlackInUse
+		if w := retryrule.Worst(d.rule, requests, repeats); w.Excess() > 1e-6 {
+			t.Fatalf("%d repeats for %d requests in the window at %s, %.1f allowed", w.Repeats, w.Requests, w.Begin.Sub(requests[0]), w.Allowed)
+		}
+		if w := retryrule.WorstSplit(d.rule, bucketRatio, requests, repeats); w.Excess() > 1e-6 {
+			t.Fatalf("%d repeats in the window at %s, %.1f paid for", w.Repeats, w.Begin.Sub(requests[0]), w.Allowed)
+		}
+	})
+}
+
+// steadyDay is a day with a constant load where all sends fail from failFrom on.
+func steadyDay(perSecond int, failFrom time.Duration) day {
+	return day{rule: retryrule.Rule{Ratio: 0.2, Window: 10 * time.Second, Slack: 52}, gateways: 4, seed: 1,
+		segments: []segment{{failFrom, perSecond, 0, -1}, {40*time.Second - failFrom, perSecond, 1, -1}}}
+}
+
+// Guards against a budget that denies nearly all repeats.
+func TestASteadilyFailingServiceGetsMostOfItsBudget(t *testing.T) {
+	for _, perSecond := range []int{10, 50, 200} {
+		g := NewWithT(t)
+		d := steadyDay(perSecond, 8*time.Second)
+		requests, repeats := d.play()
+		w := retryrule.Worst(d.rule, requests, repeats)
+		g.Expect(float64(w.Repeats)).To(BeNumerically(">=", 0.6*w.Allowed), "%d a second", perSecond)
+		last := 0
+		for _, at := range repeats {
+			if at.After(requests[0].Add(30 * time.Second)) {
+				last++
+			}
+		}
+		g.Expect(float64(last)).To(BeNumerically(">=", 0.6*0.2*10*float64(perSecond)), "the last 10 s at %d a second", perSecond)
+	}
+}
+
+// Guards against a budget too small to repeat all requests that run on a server when it ends.
+func TestTheBudgetCoversTheEndOfAServer(t *testing.T) {
+	g := NewWithT(t)
+	const gateways, running = 4, 48
+	s := Settings{Ratio: 0.2, Window: 10 * time.Second, Slack: 12}
+	now, rnd := time.Now(), rand.New(rand.NewPCG(1, 1))
+	var budgets []*Budget
+	for range gateways {
+		budgets = append(budgets, New(s, 1.0/gateways, now))
+	}
+	for range 30 * 50 { // at 50 a second
+		now = now.Add(20 * time.Millisecond)
+		budgets[rnd.IntN(gateways)].Request(now)
+	}
+	granted := 0
+	for i := range running {
+		if budgets[i%gateways].Take(now).Granted {
+			granted++
+		}
+	}
+	g.Expect(granted).To(Equal(running))
+}
--- /dev/null
+++ b/internal/retrybudget/fleet_test.go
@@ -0,0 +1,231 @@
+//go:build !race
+
+// Excluded under the race detector, whose runtime fails in some runs of whole fleets in simulated time.
+
+package retrybudget_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/merlinpost/merlinpost/internal/gateway"
+	"github.com/merlinpost/merlinpost/internal/retrybudget"
+	"github.com/merlinpost/merlinpost/internal/standin/retryrule"
+	"github.com/merlinpost/merlinpost/internal/standin/simfleet"
+	"github.com/merlinpost/merlinpost/internal/standin/worker"
+)
+
+// dayLength is the length of a fleetDay: three windows.
+const dayLength = 30 * time.Second
+
+// fleetDay is a simulated run of a whole fleet.
+type fleetDay struct {
+	seed              uint64
+	gateways, servers int
+	route             string
+	// every is the interval between requests before changes apply.
+	every   time.Duration
+	changes []change
+	// oneGateway sends all requests to the first gateway.
+	oneGateway bool
+	faults     []fleetFault
+}
+
+// change sets the load, and how many of every 10 requests fail and in which way.
+type change struct {
+	at      time.Duration
+	load    float64 // factor on the request rate
+	failing int     // of every 10 requests
+	failure worker.Behaviour
+}
+
+// fleetFault is a failure, reload or membership change of gateways or servers.
+type fleetFault struct {
+	at, lasts time.Duration
+	kind      string
+	node      int
+}
+
+func pick[T any](rnd *rand.Rand, of ...T) T { return of[rnd.IntN(len(of))] }
+
+func drawFleetDay(seed uint64) fleetDay {
+	rnd := rand.New(rand.NewPCG(seed, 3))
+	ms := func(from, to int) time.Duration { return time.Duration(from+rnd.IntN(to-from)) * time.Millisecond }
+	d := fleetDay{seed: seed, gateways: 1 + rnd.IntN(5), servers: 4 + rnd.IntN(12), route: pick(rnd, "once", "again", "stream", "resume"),
+		every: ms(20, 100), oneGateway: rnd.IntN(4) == 0}
+	failures := []worker.Behaviour{{Refuse: true}, {Drop: true}, {Events: simfleet.Events, BreakAfter: 3}}
+	for range 3 + rnd.IntN(5) {
+		d.changes = append(d.changes, change{ms(0, 28000), pick(rnd, 0.2, 1, 1, 2, 4), pick(rnd, 0, 0, 3, 6, 10), pick(rnd, failures...)})
+	}
+	slices.SortFunc(d.changes, func(a, b change) int { return int(a.at - b.at) })
+	kinds := []string{"kill", "kill", "kill all in turn", "partition", "join", "leave", "reload", "store partition", "server restart"}
+	for range pick(rnd, 0, 1, 3, 6) {
+		d.faults = append(d.faults, fleetFault{ms(500, 26000), ms(200, 8000), pick(rnd, kinds...), rnd.IntN(d.gateways)})
+	}
+	slices.SortFunc(d.faults, func(a, b fleetFault) int { return int(a.at - b.at) })
+	return d
+}
+
+// fleetRun is the state of a running fleetDay.
+type fleetRun struct {
+	*simfleet.Fleet
+	fleetDay
+	begin time.Time
+
+	mu       sync.Mutex
+	load     float64 // factor on the request rate
+	requests []time.Time
+}
+
+// sendRequests sends requests at the current rate until the end of the day.
+func (p *fleetRun) sendRequests() {
+	rnd := rand.New(rand.NewPCG(p.seed, 4))
+	var asked sync.WaitGroup
+	for i := 0; time.Since(p.begin) < dayLength; i++ {
+		n := p.Nodes[rnd.IntN(p.gateways)]
+		if p.oneGateway {
+			n = p.Nodes[0]
+		}
+		if n.Gateway().Ready() {
+			id := fmt.Sprintf("%s-%d", p.route, i)
+			p.mu.Lock()
+			p.requests = append(p.requests, time.Now())
+			p.mu.Unlock()
+			asked.Go(func() { p.Ask(n, p.route, id, "body of "+id) })
+		}
+		p.mu.Lock()
+		pause := time.Duration(float64(p.every) / p.load)
+		p.mu.Unlock()
+		time.Sleep(pause)
+	}
+	asked.Wait()
+}
+
+// waitUntil waits until the given offset from the start of the day.
+func (p *fleetRun) waitUntil(at time.Duration) { p.Pause(max(0, at-time.Since(p.begin))) }
+
+// applyChanges applies the changes of load and failures when they are due.
+func (p *fleetRun) applyChanges() {
+	for _, c := range p.changes {
+		p.waitUntil(c.at)
+		p.mu.Lock()
+		p.load = c.load
+		p.mu.Unlock()
+		for _, s := range p.Servers {
+			if w := p.Running(s); w != nil {
+				w.BehavePartly(c.failing, 10, c.failure)
+			}
+		}
+	}
+}
+
+// injectFaults injects the faults in order. Partitions may overlap with later faults.
+func (p *fleetRun) injectFaults() {
+	var lasting sync.WaitGroup
+	defer lasting.Wait()
+	for i, f := range p.faults {
+		p.waitUntil(f.at)
+		n := p.Nodes[f.node]
+		switch f.kind {
+		case "kill":
+			p.KillNode(n)
+			p.StartNode(n)
+		case "kill all in turn":
+			for _, n := range p.Nodes {
+				p.KillNode(n)
+				p.StartNode(n)
+				p.Pause(f.lasts / 8)
+			}
+		case "partition":
+			p.cut(n, true)
+			lasting.Go(func() {
+				p.Pause(f.lasts)
+				p.cut(n, false)
+			})
+		case "join":
+			p.AddNode(fmt.Sprint("joined-", i))
+		case "leave":
+			p.LeaveNode(n)
+			p.Pause(f.lasts / 2)
+			p.KillNode(n)
+			p.StartNode(n)
+		case "reload":
+			n.Gateway().SetSettings(gateway.Settings{LogOneIn: uint64(i),
+				Retries: retrybudget.Settings{Ratio: simfleet.RetryRatio, Window: simfleet.RetryWindow, Slack: simfleet.RetrySlack - float64(i%2)}})
+		case "store partition":
+			p.CutStore(n, true)
+			lasting.Go(func() {
+				p.Pause(f.lasts)
+				p.CutStore(n, false)
+			})
+		case "server restart":
+			s := p.Servers[f.node]
+			if p.EndServer(s) {
+				p.Pause(50 * time.Millisecond)
+				p.StartServer(s)
+			}
+		}
+	}
+}
+
+// cut partitions a gateway from the others, or reconnects it.
+func (p *fleetRun) cut(n *simfleet.Node, cut bool) {
+	for _, other := range p.Nodes {
+		if other != n {
+			p.CutNodes(n, other, cut)
+		}
+	}
+}
+
+// repeats returns the times of all arrivals beyond the first of each request.
+func (p *fleetRun) repeats() []time.Time {
+	first := map[string]bool{}
+	var out []time.Time
+	for _, s := range p.Servers {
+		for _, w := range p.Starts(s) {
+			for _, a := range w.Arrivals() {
+				if first[a.ID] {
+					out = append(out, a.At)
+				}
+				first[a.ID] = true
+			}
+		}
+	}
+	return out
+}
+
+// play runs a day and returns its worst window and the total number of repeats.
+func (d fleetDay) play() (worst retryrule.Window, repeats int) {
+	synctest.Test(new(testing.T), func(*testing.T) {
+		p := &fleetRun{Fleet: simfleet.New(d.gateways, d.servers, d.seed, nil), fleetDay: d, load: 1}
+		defer p.End()
+		p.begin = time.Now()
+		var duties sync.WaitGroup
+		duties.Go(p.sendRequests)
+		duties.Go(p.applyChanges)
+		duties.Go(p.injectFaults)
+		duties.Wait()
+		all := p.repeats()
+		repeats = len(all)
+		worst = retryrule.Worst(retryrule.Rule{Ratio: simfleet.RetryRatio, Window: simfleet.RetryWindow, Slack: simfleet.RetrySlack}, p.requests, all)
+	})
+	return worst, repeats
+}
+
+// The repeats of whole fleets, counted when they reach a server, stay within the rule in any window.
+func TestRepeatsOfWholeFleetsStayWithinTheRule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := drawFleetDay(rapid.Uint64().Draw(t, "seed"))
+		worst, repeats := d.play()
+		if repeats > 0 && worst.Excess() > 0 {
+			t.Fatalf("%d repeats for %d requests in a window, %.1f allowed\n%+v", worst.Repeats, worst.Requests, worst.Allowed, d)
+		}
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -59,7 +59,7 @@
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	log := configlog.NewClient(set.Log.Address, settings.Millis(set.Log.TimeoutMS))
 	r := &Router{set: set, logger: logger, incarnation: configlog.NewID(), picker: picker, rnd: rnd,
-		budget: retrybudget.New(retrybudget.Settings{Ratio: p.RetryShare, Window: retryWindow, Spare: p.RetryBurst}, time.Now()),
+		budget: retrybudget.New(retrybudget.Settings{Ratio: p.RetryShare, Window: retryWindow, Slack: p.RetryBurst}, 1, time.Now()),
 		quota:  quota.NewTeams(time.Now()),
 		ledger: quota.NewLedger(time.Now())}
 	r.Config = configlog.NewFollower(log, set.Log, true, logger, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
