Wait at least 10 ms between two decisions about a pending claim

A claim that expires within 10 ms of the last decision asked for the next one without a pause until the 10 ms were over: a busy loop in a gateway, and an endless one in simulated time. Found by reading.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -209,7 +209,7 @@
 		case <-timer.C:
 			budget.Grant(g.now())
 			spread := time.Duration((0.5 + g.draw()) * float64(budget.PollInterval()))
-			timer.Reset(max(0, min(spread, claim.Expires.Sub(g.now()))))
+			timer.Reset(max(retrybudget.GrantEvery, min(spread, claim.Expires.Sub(g.now()))))
 		}
 		if pending.Undecided() && g.borrowRepeat(ctx, q) {
 			d := pending.Withdraw()
