Tell a home when a request no longer waits for its permit

Cause: the home of the engines was stalled (SIGSTOP for 0.45 s). The other gateways gave up on it after 240 ms, had their requests decided elsewhere and delivered the responses, but did not tell it. When it ran again, it read their permit requests from its socket, granted one on each engine and queued the others. Nobody used these grants: each kept its engine idle for 0.87 s, until the prefill counted as overdue, and then as a failure of the engine, with a backoff that doubles. The queued ones got the engines next. Requests that arrived meanwhile waited behind them until their timeout.

Ruled out: rate limits (no engine was exhausted), engines excluded by the requesting gateway (none), estimates (none are used before 20 observations).

Change: a gateway that gives up on a home sends it the end of the request. A decision that no one waits for is answered with the end too, which also covers lost datagrams and gateways that have restarted. A decision counts only if it comes from the home that was asked last: a late grant of the previous one would otherwise be used and its end reported to the wrong home.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -75,7 +75,7 @@
 	TimeToFirstToken time.Duration `msgpack:"t,omitempty"`
 }
 
-// requestEnd reports that a request has ended.
+// requestEnd reports that a request has ended. Group is zero if the sender does not know it.
 type requestEnd struct {
 	Group permit.Group `msgpack:"g"`
 	ID    string       `msgpack:"i"`
@@ -125,10 +125,11 @@
 	mu             sync.Mutex
 	members        *members
 	states         topicStates
-	estimates      []engineEstimates               // this gateway's, as sent in heartbeats
-	pendingPermits map[string]chan permit.Decision // by request ID
-	pendingRetries map[uint64]chan bool            // by the ID of the retryRequest
-	lastRetryID    uint64                          // ID of the newest retryRequest
+	estimates      []engineEstimates         // this gateway's, as sent in heartbeats
+	pendingPermits map[string]pendingPermit  // by request ID
+	heldPermits    map[string]netip.AddrPort // homes of permits that have not ended, by request ID
+	pendingRetries map[uint64]chan bool      // by the ID of the retryRequest
+	lastRetryID    uint64                    // ID of the newest retryRequest
 	leaving        bool
 	heartbeatAt    time.Time
 	loggedLive     int // number of live gateways last logged, at liveLoggedAt
@@ -156,7 +157,7 @@
 	self := socket.Address()
 	now := time.Now()
 	p := &Peers{socket: socket, self: self, logger: logger, inbox: make(chan receivedMessage, inboxSize), local: local, quarantine: local.Quarantine(), notices: local.Notices(), start: now,
-		members: newMembers(Member{host, self, capacity}, now), pendingPermits: map[string]chan permit.Decision{}, pendingRetries: map[uint64]chan bool{}}
+		members: newMembers(Member{host, self, capacity}, now), pendingPermits: map[string]pendingPermit{}, heldPermits: map[string]netip.AddrPort{}, pendingRetries: map[uint64]chan bool{}}
 	p.scheduler = permit.NewScheduler[netip.AddrPort](local.Engines, p.peerEstimates, p.notices.Limits(), permit.Policy{})
 	return p
 }
@@ -250,7 +251,7 @@
 	case r.PermitRequest != nil:
 		p.sendDecision(p.scheduler.Submit(r.PermitRequest.Group, r.PermitRequest.Ask, r.from, now), r.from)
 	case r.PermitDecision != nil:
-		p.deliverDecision(*r.PermitDecision)
+		p.deliverDecision(*r.PermitDecision, r.from)
 	case r.FirstToken != nil:
 		p.scheduler.RecordFirstToken(r.FirstToken.Group, r.FirstToken.ID, r.FirstToken.TimeToFirstToken, now)
 	case r.End != nil:
@@ -272,22 +273,8 @@
 func (p *Peers) sendDecision(d permit.Decision, to netip.AddrPort) {
 	telemetry.Count("merlinpost_permit_answers_total", "verdict", d.Verdict.String())
 	if to == p.self {
-		p.deliverDecision(d)
+		p.deliverDecision(d, p.self)
 		return
 	}
 	p.send(message{PermitDecision: &d}, to)
 }
-
-// deliverDecision passes a decision to the RequestPermit call that waits for it.
-func (p *Peers) deliverDecision(d permit.Decision) {
-	p.mu.Lock()
-	ch := p.pendingPermits[d.ID]
-	p.mu.Unlock()
-	if ch == nil {
-		return
-	}
-	select {
-	case ch <- d:
-	default: // the previous decision has not been received yet; RequestPermit resends its request
-	}
-}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -370,6 +370,87 @@
 		}
 	})
 
+	// openStalled opens a gateway that is known to another one and does not process its messages before resume is
+	// called.
+	openStalled := func(host string, known *Peers) (resume func()) {
+		p, err := Open(host, "127.0.0.1:0", Capacity{Cores: 0.3}, fakeGateway{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		Expect(err).NotTo(HaveOccurred())
+		p.AddListed([]Member{known.Self()}) // sends a heartbeat
+		Eventually(live(known)).Should(Equal(2))
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		DeferCleanup(func() { cancel(); running.Wait() })
+		return func() { running.Go(func() { p.Run(ctx) }) }
+	}
+	// groupOf returns a group whose home is the given host.
+	groupOf := func(p *Peers, host string) permit.Group {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for i := range 1000 {
+			if g := (permit.Group{Service: "s", Index: i}); p.members.home(g.Key(), time.Now()).Host == host {
+				return g
+			}
+		}
+		panic("no group has this home")
+	}
+	// expectGrantWithoutDelay requests a permit for a prompt that takes the engine for itself. An engine that is
+	// kept for such a prompt is free after 1.9 s if the end of the prompt is not reported.
+	expectGrantWithoutDelay := func(p *Peers, g permit.Group, id string) {
+		granted := make(chan permit.Decision, 1)
+		go func() {
+			decision, held := p.RequestPermit(context.Background(), g, request(id))
+			held.End(permit.StreamStats{})
+			granted <- decision
+		}()
+		Eventually(granted, 500*time.Millisecond).Should(Receive(HaveField("Engine", "engine")))
+	}
+
+	// Guards against engines that stay idle because their home keeps them for requests that were sent elsewhere
+	// while it was stalled. Interactive requests waited behind these for 2 s and were refused with status 429.
+	It("free the engines that a stalled home grants to requests that have given up on it", func() {
+		a, _ := open("a")
+		resume := openStalled("b", a)
+		g := groupOf(a, "b")
+		var waiting sync.WaitGroup
+		for i := range 5 {
+			waiting.Go(func() {
+				_, held := a.RequestPermit(context.Background(), g, request(fmt.Sprint("stale", i)))
+				held.End(permit.StreamStats{})
+			})
+		}
+		waiting.Wait()
+		resume()
+		Eventually(live(a), 2*time.Second).Should(Equal(2)) // b is the home again
+		expectGrantWithoutDelay(a, g, "new")
+	})
+
+	// Guards against engines that stay idle because their home keeps them for requests of an earlier process at the
+	// address of a gateway.
+	It("free the engines that are granted to requests for which no one waits", func() {
+		a, _ := open("a")
+		b, _ := open("b")
+		a.AddListed([]Member{b.Self()})
+		Eventually(live(a)).Should(Equal(2))
+		Eventually(live(b)).Should(Equal(2))
+		g := groupOf(a, "b")
+		for i := range 5 {
+			a.send(message{PermitRequest: &permitRequest{g, request(fmt.Sprint("earlier", i))}}, b.Self().Address)
+		}
+		expectGrantWithoutDelay(a, g, "new")
+	})
+
+	It("ignore a late decision of a home that was given up", func() {
+		a, _ := open("a")
+		decisions := make(chan permit.Decision, 1)
+		a.mu.Lock()
+		a.pendingPermits["r"] = pendingPermit{at(1), decisions}
+		a.mu.Unlock()
+		a.deliverDecision(permit.Decision{ID: "r", Verdict: permit.Granted, Engine: "engine"}, at(2))
+		Expect(decisions).NotTo(Receive())
+		a.deliverDecision(permit.Decision{ID: "r", Verdict: permit.Queued}, at(1))
+		Expect(decisions).To(Receive(HaveField("Verdict", permit.Queued)))
+	})
+
 	It("refuse a queued request when its context is cancelled", func() {
 		a, _ := open("a")
 		_, _ = a.RequestPermit(context.Background(), group, request("r1"))
--- a/internal/peers/permits.go
+++ b/internal/peers/permits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/permit"
+	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
 const (
@@ -43,6 +44,9 @@
 // End reports to the home that the request has ended, with the statistics of its response.
 func (p Permit) End(stats permit.StreamStats) {
 	if p.peers != nil {
+		p.peers.mu.Lock()
+		delete(p.peers.heldPermits, p.id)
+		p.peers.mu.Unlock()
 		p.peers.send(message{End: &requestEnd{Group: p.group, ID: p.id, StreamStats: stats}}, p.home)
 	}
 }
@@ -52,9 +56,6 @@
 // an engine, and the Permit is zero. If ctx is done before the decision, the verdict is Refused.
 func (p *Peers) RequestPermit(ctx context.Context, group permit.Group, request permit.Ask) (permit.Decision, Permit) {
 	ch := make(chan permit.Decision, 1)
-	p.mu.Lock()
-	p.pendingPermits[request.ID] = ch
-	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
 		delete(p.pendingPermits, request.ID)
@@ -64,12 +65,16 @@
 	for range maxHomeAttempts {
 		p.mu.Lock()
 		home := p.members.home(group.Key(), time.Now()).Address
+		p.pendingPermits[request.ID] = pendingPermit{home, ch}
 		p.mu.Unlock()
 		decision, responded := p.requestFromHome(ctx, home, pendingRequest{group, request, start}, ch)
 		if responded {
 			if decision.Verdict != permit.Granted {
 				return decision, Permit{}
 			}
+			p.mu.Lock()
+			p.heldPermits[request.ID] = home
+			p.mu.Unlock()
 			return decision, Permit{p, home, group, request.ID}
 		}
 		p.mu.Lock()
@@ -79,6 +84,12 @@
 	return permit.Decision{ID: request.ID, Verdict: permit.Granted}, Permit{}
 }
 
+// pendingPermit is a call of RequestPermit that waits for the decision of a home.
+type pendingPermit struct {
+	home      netip.AddrPort
+	decisions chan<- permit.Decision
+}
+
 // pendingRequest is a permit request. The remaining times that it contains are relative to requestedAt.
 type pendingRequest struct {
 	group       permit.Group
@@ -114,6 +125,8 @@
 			timer.Reset(queuedResendInterval)
 		case <-timer.C:
 			if missed++; missed > maxMissedResponses {
+				// A home that is only stalled must not grant the request an engine later.
+				p.send(message{End: &requestEnd{Group: q.group, ID: q.request.ID}}, home)
 				return permit.Decision{}, false
 			}
 			p.send(q.message(), home)
@@ -121,3 +134,24 @@
 		}
 	}
 }
+
+// deliverDecision passes a decision of a home to the RequestPermit call that waits for it. If no call does, because
+// this gateway has restarted or has given up on the home, it tells the home that the request has ended. Otherwise the
+// home would keep the request queued or an engine reserved for it.
+func (p *Peers) deliverDecision(d permit.Decision, from netip.AddrPort) {
+	p.mu.Lock()
+	pending, held := p.pendingPermits[d.ID], p.heldPermits[d.ID]
+	p.mu.Unlock()
+	if pending.home != from {
+		kept := d.Verdict == permit.Queued || d.Verdict == permit.Granted && d.Engine != ""
+		if kept && held != from {
+			telemetry.Count("merlinpost_permits_returned_total", "verdict", d.Verdict.String())
+			p.send(message{End: &requestEnd{ID: d.ID}}, from)
+		}
+		return
+	}
+	select {
+	case pending.decisions <- d:
+	default: // the previous decision has not been received yet; RequestPermit resends its request
+	}
+}
--- a/internal/permit/scheduler.go
+++ b/internal/permit/scheduler.go
@@ -127,10 +127,13 @@
 	}
 }
 
-// Finish records that a request has ended or was cancelled, with the statistics of its response.
+// Finish records that a request has ended or was cancelled, with the statistics of its response. If group is
+// zero, it looks for the request in all groups.
 func (s *Scheduler[Requester]) Finish(group Group, id string, stats StreamStats, now time.Time) {
-	if queue := s.queues[group]; queue != nil {
-		queue.Finish(id, stats, now)
+	for g, queue := range s.queues {
+		if g == group || group == (Group{}) {
+			queue.Finish(id, stats, now)
+		}
 	}
 	delete(s.requesters, id)
 }
