Count engines in backoff when the wait of a request is estimated

Cause: the expected wait counted only the engines that take requests at that moment. After failures four of five engines were in backoff, the first for another 0.14 s; the fifth had a rate limit of 0.2 requests per second, which gave an expected wait of 5 s against a timeout of 2 s.

Evidence: the trace of the refusal lists i-llm-8 with a backoff of 135 ms, i-llm-3 of 394 ms, two of 1.0 and 1.3 s, and i-llm-2 with a rate of 0.2.

Change: an engine in backoff counts with the rest of its backoff as its wait. A request that can't be served in time while no engine takes requests is refused as NoEngine (503) also when it is submitted, not only later: it is not refused because of load.

--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -163,7 +163,7 @@
 	}
 	wait, engines := q.expectedWait(e, now)
 	if q.unservable(e, wait, engines, now) {
-		return q.newDecision(req.ID, Refused, q.retryAfter(wait, req, engines, now), now)
+		return q.newDecision(req.ID, q.refusal(now), q.retryAfter(wait, req, engines, now), now)
 	}
 	q.waiting = append(q.waiting, e)
 	q.waitingByID[req.ID] = e
--- a/internal/permit/wait.go
+++ b/internal/permit/wait.go
@@ -87,13 +87,13 @@
 	return sum / time.Duration(count)
 }
 
-// engineCapacity is the capacity of a usable engine.
+// engineCapacity is the capacity of an engine that accepts requests.
 type engineCapacity struct {
 	wait           time.Duration // until it can take its next request
 	availableShare float64       // share of its time that its rate limit lets it spend on requests
 }
 
-// capacity is the capacity of all usable engines, ordered by wait.
+// capacity is the capacity of all engines that accept requests, ordered by wait.
 type capacity []engineCapacity
 
 // capacity returns the capacity for requests that each take the given engine time. The result is valid
@@ -101,10 +101,10 @@
 func (q *Queue) capacity(perRequest time.Duration, now time.Time) capacity {
 	out := q.capacityBuf[:0]
 	for _, e := range q.sortedEngines {
-		if !e.usable(now) {
+		if !e.Accepting {
 			continue
 		}
-		c := engineCapacity{e.prefillWait(now), 1}
+		c := engineCapacity{max(e.prefillWait(now), e.backoffUntil.Sub(now)), 1}
 		if b := q.limiter.Budget(e.ID, now); b.Limited {
 			c.wait, c.availableShare = max(c.wait, b.Wait), min(1, b.Rate*perRequest.Seconds())
 		}
@@ -154,10 +154,7 @@
 		backlog += q.engineTime(e.request)
 	}
 	capacity := q.capacity(meanOrDefault(backlog, len(q.waiting), 0), now)
-	verdict, ahead := Refused, time.Duration(0)
-	if len(capacity) == 0 {
-		verdict = NoEngine
-	}
+	verdict, ahead := q.refusal(now), time.Duration(0)
 	noneAccepting := !slices.ContainsFunc(q.sortedEngines, func(e *engine) bool { return e.Accepting })
 	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry) bool {
 		wait := capacity.nextFree(ahead)
@@ -172,6 +169,15 @@
 	return out
 }
 
+// refusal returns the verdict for a request that can't be served in time. It is NoEngine if no engine takes requests
+// now, however few there are.
+func (q *Queue) refusal(now time.Time) Verdict {
+	if slices.ContainsFunc(q.sortedEngines, func(e *engine) bool { return e.usable(now) }) {
+		return Refused
+	}
+	return NoEngine
+}
+
 // unservable reports whether a request can't be served in time, given its expected wait and the capacity
 // in engines. Late requests only get the capacity that on-time requests leave over. If there is none, they
 // would wait in vain until their timeout.
