State in a permit request for how long each engine is excluded

Callers saw: requests were held and refused while a server that had asked to back off for a short time, or had been unreachable for 0.25 s, was idle again.

Cause: a gateway lists the engines that it can't use in its permit request. The list held for as long as the request waited, up to several seconds. Such requests also stood at the head of the queue: after 16 that could not be placed no others were tried. And the expected wait counted the engines that they exclude, so that they were queued with no chance instead of being refused.

Evidence: a trace of TestRateLimitAppliesAfterABackoff. 160 requests before the end of a backoff exclude the server, with an expected wait of 45 ms; 31 later ones, which do not exclude it, are granted only when the older ones have been refused, 150 ms after the end of the backoff.

Change: the permit request says after what time each excluded engine can be used (0: not for this request). The queue uses an engine from then on, counts it with that wait, and skips requests that exclude all engines with capacity without counting them as tried. Engines that are excluded in the meantime are listed anew with each permit request instead of for its whole wait. A home of an earlier version ignores the times; for requests of an earlier version the engines are excluded as before.

--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -100,10 +100,11 @@
 	// A request that must run isolated does not get the precedence of resumed streams. Otherwise a resumable
 	// stream that crashes servers would crash one after another, ahead of all other requests.
 	req.Resumed = req.Resumed && !run.isolated
-	req.ExcludedEngines = unusableEngines(candidates)
 	g.recordNotices(q)
 	var refused permit.Decision
+	var unlisted []string // engines that were granted but are not among the candidates
 	for n, group := 0, 0; n < maxPermitRequests && group < min(maxGroupsPerSend, len(groups)); n++ {
+		req.ExcludedEngines, req.ExcludedFor = excludedEngines(candidates, unlisted)
 		req.ID = fmt.Sprintf("%s/%d", q.info.ID, q.permitRequestCount)
 		q.permitRequestCount++
 		decision, heldPermit := g.peers.RequestPermit(ctx, permit.Group{Service: q.service, Index: groups[group]}, req)
@@ -133,7 +134,9 @@
 			return choice, heldPermit, nil
 		}
 		heldPermit.End(permit.StreamStats{})
-		req.ExcludedEngines = append(req.ExcludedEngines, decision.Engine)
+		if !slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return c.Server.InstanceID() == decision.Engine }) {
+			unlisted = append(unlisted, decision.Engine)
+		}
 	}
 	if refused.ID == "" {
 		return placement.Choice{}, peers.Permit{}, g.noServerError(q)
@@ -157,15 +160,22 @@
 // usable reports whether this gateway may send the request to a server.
 func usable(c placement.Candidate) bool { return !c.Tried && !c.View.Avoided && c.RetryAfter == 0 }
 
-// unusableEngines returns up to maxExcludedEngines engines to which this gateway can't send the request.
-func unusableEngines(candidates []placement.Candidate) []string {
-	var out []string
+// excludedEngines returns up to maxExcludedEngines engines to which this gateway can't send the request: those that
+// are unlisted and those of the candidates that can't be used now. It also returns the time after which each can be
+// used, 0 if the request can't use it at all.
+func excludedEngines(candidates []placement.Candidate, unlisted []string) (engines []string, waits []time.Duration) {
+	engines, waits = slices.Clone(unlisted), make([]time.Duration, len(unlisted))
 	for _, c := range candidates {
-		if !usable(c) {
-			out = append(out, c.Server.InstanceID())
+		if usable(c) || len(engines) >= maxExcludedEngines {
+			continue
+		}
+		wait := max(c.RetryAfter, c.View.AvoidedFor)
+		if c.Tried {
+			wait = 0
 		}
+		engines, waits = append(engines, c.Server.InstanceID()), append(waits, wait)
 	}
-	return out[:min(len(out), maxExcludedEngines)]
+	return engines, waits
 }
 
 // grantedChoice returns the choice of the granted engine. It has no candidate if this gateway can no longer
--- a/internal/peers/permits.go
+++ b/internal/peers/permits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/permit"
@@ -102,6 +103,12 @@
 	request, elapsed := q.request, time.Since(q.requestedAt)
 	request.FirstTokenTarget -= elapsed
 	request.FirstTokenTimeout = max(request.FirstTokenTimeout-elapsed, time.Millisecond)
+	request.ExcludedFor = slices.Clone(request.ExcludedFor)
+	for i, wait := range request.ExcludedFor {
+		if wait > 0 {
+			request.ExcludedFor[i] = max(wait-elapsed, 1) // 0 would exclude the engine altogether
+		}
+	}
 	return message{PermitRequest: &permitRequest{q.group, request}}
 }
 
--- a/internal/permit/place.go
+++ b/internal/permit/place.go
@@ -119,7 +119,7 @@
 // place grants the request on the cheapest engine that can take it, and reports whether there is one.
 func (q *Queue) place(e *entry, now time.Time) bool {
 	mayDisrupt, allowed := q.disruptionAllowance(e, now)
-	for _, c := range q.candidates(e.request, now) {
+	for _, c := range q.candidates(e, now) {
 		if !q.policy.IgnoreInterference && q.disruptedStreams(c, e.request, mayDisrupt, now) > allowed {
 			continue
 		}
@@ -146,12 +146,13 @@
 }
 
 // candidates returns the engines that can take the request now, the cheapest first.
-func (q *Queue) candidates(req Ask, now time.Time) []candidate {
+func (q *Queue) candidates(waiting *entry, now time.Time) []candidate {
+	req := waiting.request
 	location := q.locatePrefix(req, now)
 	concurrentLimit := time.Duration(concurrentPrefillShare * float64(q.shortestToleratedGap(now)))
 	out := q.candidateBuf[:0]
 	for _, e := range q.sortedEngines {
-		if !e.usable(now) || !e.hasCapacity(req) || slices.Contains(req.ExcludedEngines, e.ID) {
+		if !e.usable(now) || !e.hasCapacity(req) || !waiting.mayUse(e, now) {
 			continue
 		}
 		budget := q.limiter.Budget(e.ID, now)
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -50,6 +50,7 @@
 // entry is a waiting or granted request.
 type entry struct {
 	request         Ask
+	restrictions    restrictions
 	arrivedAt       time.Time
 	lastSubmittedAt time.Time // by its gateway
 	sequence        uint64    // increases in the order of arrival
@@ -85,7 +86,7 @@
 	load              loadByPriority
 	lastSweep         time.Time   // when waiting and granted requests were last checked for expiry
 	candidateBuf      []candidate // reused by candidates
-	capacityBuf       capacity    // reused by capacity
+	engineBuf         []*engine   // reused by enginesWithCapacity
 }
 
 // NewQueue returns an empty queue without engines.
@@ -146,7 +147,7 @@
 		return Decision{ID: req.ID, Verdict: Queued}
 	}
 	q.lastSequence++
-	e := &entry{request: req, arrivedAt: now, lastSubmittedAt: now, sequence: q.lastSequence}
+	e := &entry{request: req, restrictions: newRestrictions(req, now), arrivedAt: now, lastSubmittedAt: now, sequence: q.lastSequence}
 	if len(q.sortedEngines) == 0 {
 		// This gateway has not read the list of engines yet, or has an outdated one. The requesting
 		// gateway chooses an engine from its own list.
@@ -154,7 +155,7 @@
 	}
 	q.recordToleratedGap(req.MaxEventGap, now)
 	q.load.add(req.Priority, q.engineTime(req), now)
-	if !q.anyEligible(req, now) {
+	if !q.anyEligible(e, now) {
 		return q.newDecision(req.ID, NoEngine, minRetryAfter, now)
 	}
 	first := !slices.ContainsFunc(q.waiting, func(other *entry) bool { return q.precedes(other, e, now) })
@@ -163,7 +164,7 @@
 	}
 	wait, engines := q.expectedWait(e, now)
 	if q.unservable(e, wait, engines, now) {
-		return q.newDecision(req.ID, q.refusal(now), q.retryAfter(wait, req, engines, now), now)
+		return q.newDecision(req.ID, q.refusal(e, now), q.retryAfter(wait, req, engines, now), now)
 	}
 	q.waiting = append(q.waiting, e)
 	q.waitingByID[req.ID] = e
@@ -221,8 +222,8 @@
 		q.expire(now)
 		q.prefixes.prune(now)
 	}
-	hasCapacity := q.anyCapacity(now)
-	if len(q.waiting) == 0 || !sweep && !hasCapacity {
+	free := q.enginesWithCapacity(now)
+	if len(q.waiting) == 0 || !sweep && len(free) == 0 {
 		return nil
 	}
 	slices.SortFunc(q.waiting, func(a, b *entry) int { return q.compare(a, b, now) })
@@ -230,12 +231,13 @@
 	if sweep {
 		out = q.refuseUnservable(now)
 	}
-	if !hasCapacity {
-		return out
-	}
 	tried := 0
-	for i := 0; i < len(q.waiting) && tried < maxPlacementAttempts && q.anyCapacity(now); {
+	for i := 0; i < len(q.waiting) && tried < maxPlacementAttempts && len(free) > 0; {
 		e := q.waiting[i]
+		if !e.mayUseAny(free, now) {
+			i++
+			continue
+		}
 		if !q.place(e, now) {
 			i++
 			tried++
@@ -243,6 +245,7 @@
 		}
 		q.removeWaiting(i)
 		out = append(out, q.grantDecision(e, now))
+		free = q.enginesWithCapacity(now)
 	}
 	return out
 }
@@ -286,20 +289,26 @@
 	return rendezvous.First(prefixID, ids)
 }
 
-// anyCapacity reports whether any engine can take a prompt: either it runs no prefill, or its prefill is
-// so close to completion that it can take a short prompt.
-func (q *Queue) anyCapacity(now time.Time) bool {
+// enginesWithCapacity returns the engines that can take a prompt: either they run no prefill, or their prefill
+// is so close to completion that they can take a short prompt. The result is valid until the next call.
+func (q *Queue) enginesWithCapacity(now time.Time) []*engine {
 	concurrentLimit := time.Duration(concurrentPrefillShare * float64(q.shortestToleratedGap(now)))
-	return slices.ContainsFunc(q.sortedEngines, func(e *engine) bool {
-		return e.usable(now) && e.prefillWait(now) < concurrentLimit && !q.rateExhausted(e, now)
-	})
+	out := q.engineBuf[:0]
+	for _, e := range q.sortedEngines {
+		if e.usable(now) && e.prefillWait(now) < concurrentLimit && !q.rateExhausted(e, now) {
+			out = append(out, e)
+		}
+	}
+	q.engineBuf = out
+	return out
 }
 
 // anyEligible reports whether any engine may take the request now, or after a backoff that ends within
 // the request's first-token timeout.
-func (q *Queue) anyEligible(req Ask, now time.Time) bool {
-	return slices.ContainsFunc(q.sortedEngines, func(e *engine) bool {
-		return e.Accepting && e.backoffUntil.Sub(now) <= req.FirstTokenTimeout && !slices.Contains(req.ExcludedEngines, e.ID)
+func (q *Queue) anyEligible(e *entry, now time.Time) bool {
+	return slices.ContainsFunc(q.sortedEngines, func(g *engine) bool {
+		wait := max(g.backoffUntil.Sub(now), e.restrictions.wait(g.ID, now))
+		return g.Accepting && wait <= e.request.FirstTokenTimeout
 	})
 }
 
--- a/internal/permit/types.go
+++ b/internal/permit/types.go
@@ -61,9 +61,12 @@
 	Resumed bool `msgpack:"b,omitempty"`
 	// Plain requests have no prompt to prefill; their servers process them concurrently.
 	Plain bool `msgpack:"n,omitempty"`
-	// ExcludedEngines are the IDs of engines that have failed the request or are unreachable from
-	// its gateway.
+	// ExcludedEngines are the IDs of engines that have failed the request or that its gateway can't
+	// use now, because they are unreachable or have asked it to back off.
 	ExcludedEngines []string `msgpack:"a,omitempty"`
+	// ExcludedFor is the time after which the gateway can use each of the ExcludedEngines, in the same
+	// order. 0 and missing elements mean that the request can't use the engine at all.
+	ExcludedFor []time.Duration `msgpack:"x,omitempty"`
 }
 
 // Verdict is the result of scheduling a request.
--- a/internal/permit/wait.go
+++ b/internal/permit/wait.go
@@ -63,7 +63,7 @@
 			count++
 		}
 	}
-	capacity := q.capacity(meanOrDefault(ahead, count, q.engineTime(e.request)), now)
+	capacity := q.capacity(meanOrDefault(ahead, count, q.engineTime(e.request)), e.restrictions, now)
 	return capacity.nextFree(ahead), capacity.total()
 }
 
@@ -96,22 +96,22 @@
 // capacity is the capacity of all engines that accept requests, ordered by wait.
 type capacity []engineCapacity
 
-// capacity returns the capacity for requests that each take the given engine time. The result is valid
-// until the next call.
-func (q *Queue) capacity(perRequest time.Duration, now time.Time) capacity {
-	out := q.capacityBuf[:0]
+// capacity returns the capacity for requests that have the given restrictions and each take the given engine
+// time.
+func (q *Queue) capacity(perRequest time.Duration, r restrictions, now time.Time) capacity {
+	out := make(capacity, 0, len(q.sortedEngines))
 	for _, e := range q.sortedEngines {
-		if !e.Accepting {
+		excludedFor := r.wait(e.ID, now)
+		if !e.Accepting || excludedFor == never {
 			continue
 		}
-		c := engineCapacity{max(e.prefillWait(now), e.backoffUntil.Sub(now)), 1}
+		c := engineCapacity{max(e.prefillWait(now), e.backoffUntil.Sub(now), excludedFor), 1}
 		if b := q.limiter.Budget(e.ID, now); b.Limited {
 			c.wait, c.availableShare = max(c.wait, b.Wait), min(1, b.Rate*perRequest.Seconds())
 		}
 		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b engineCapacity) int { return cmp.Compare(a.wait, b.wait) })
-	q.capacityBuf = out
 	return out
 }
 
@@ -153,26 +153,32 @@
 	for _, e := range q.waiting {
 		backlog += q.engineTime(e.request)
 	}
-	capacity := q.capacity(meanOrDefault(backlog, len(q.waiting), 0), now)
-	verdict, ahead := q.refusal(now), time.Duration(0)
+	capacities := map[string]capacity{}
+	perRequest, ahead := meanOrDefault(backlog, len(q.waiting), 0), time.Duration(0)
 	noneAccepting := !slices.ContainsFunc(q.sortedEngines, func(e *engine) bool { return e.Accepting })
 	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry) bool {
+		key := e.restrictions.key(now)
+		capacity, known := capacities[key]
+		if !known {
+			capacity = q.capacity(perRequest, e.restrictions, now)
+			capacities[key] = capacity
+		}
 		wait := capacity.nextFree(ahead)
 		if !noneAccepting && !q.unservable(e, wait, capacity.total(), now) {
 			ahead += q.engineTime(e.request)
 			return false
 		}
 		delete(q.waitingByID, e.request.ID)
-		out = append(out, q.newDecision(e.request.ID, verdict, q.retryAfter(wait, e.request, capacity.total(), now), now))
+		out = append(out, q.newDecision(e.request.ID, q.refusal(e, now), q.retryAfter(wait, e.request, capacity.total(), now), now))
 		return true
 	})
 	return out
 }
 
 // refusal returns the verdict for a request that can't be served in time. It is NoEngine if no engine takes requests
-// now, however few there are.
-func (q *Queue) refusal(now time.Time) Verdict {
-	if slices.ContainsFunc(q.sortedEngines, func(e *engine) bool { return e.usable(now) }) {
+// of its gateway now, however few there are.
+func (q *Queue) refusal(e *entry, now time.Time) Verdict {
+	if slices.ContainsFunc(q.sortedEngines, func(g *engine) bool { return g.usable(now) && e.restrictions.wait(g.ID, now) == 0 }) {
 		return Refused
 	}
 	return NoEngine
--- a/internal/registry/backend.go
+++ b/internal/registry/backend.go
@@ -112,8 +112,9 @@
 	InFlight     int   // requests of this process in progress
 	UnreadTokens int64 // prompt tokens of those requests that have not produced a first token
 	Load         Load  // zero if no load was reported recently
-	// Avoided is set if the server was unreachable recently.
-	Avoided bool
+	// Avoided is set if the server was unreachable recently. It is avoided for AvoidedFor.
+	Avoided    bool
+	AvoidedFor time.Duration
 	// ErrorRate is the fraction of recent requests that failed, 0 to 1.
 	ErrorRate float64
 }
@@ -131,5 +132,5 @@
 		load = Load{}
 	}
 	return View{InFlight: b.inFlight, UnreadTokens: b.unreadTokens, Load: load,
-		Avoided: now.Before(b.avoidUntil), ErrorRate: b.errorRate.Rate(now)}
+		Avoided: now.Before(b.avoidUntil), AvoidedFor: max(b.avoidUntil.Sub(now), 0), ErrorRate: b.errorRate.Rate(now)}
 }
