Send requests by slow start to a server whose backoff has ended

Callers and backend servers saw: a server that had asked to back off for 6 s got 31 requests at one instant when that time had ended, where its rate limit allows 5 in 4 s; with other routes, rates, gateways and servers up to 56 where 29 are allowed.

Cause: a server's rate limit is known from its responses. A server to which nothing is sent, because of a backoff, can't state one, and requests wait meanwhile. When the backoff ended, all that waited were granted in one poll, before the first response. Class of fault: the end of a pause is taken as proof that the server accepts everything that waited for it.

Evidence: the trace of the queue shows 31 grants of i-0 at 6.700 s, one round trip before the first response, which states a limit of 0.

Change: after a backoff a server gets one request until it has responded; while it does not, the number doubles every 250 ms (internal/slowstart), so that a server which takes long to respond is not kept idle. If a request ends without a response, the next one is sent at once. This is enforced twice: - by the home of the group, which counts the requests of all gateways that have backed off from the server; other gateways are not affected; - by each gateway when it sends. Requests that choose a server themselves take another one, or wait if there is none; nothing is refused because of it. A grant that was made before the limit in the first response was known is given back. The home learns of the notices in a response with the message that reports the response: otherwise it would grant further requests just before.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -98,15 +98,17 @@
 	if err != nil {
 		return unsent, err
 	}
+	instance := choice.Candidate.Server.InstanceID()
 	if err := g.recheckQuarantine(q, run, ran); err != nil {
-		heldPermit.End(permit.StreamStats{})
+		g.notices.EndSend(instance)
+		heldPermit.End(permit.NotSent)
 		return unsent, err
 	}
 	if !g.renewRetry(q) {
-		heldPermit.End(permit.StreamStats{})
+		g.notices.EndSend(instance)
+		heldPermit.End(permit.NotSent)
 		return unsent, nil
 	}
-	instance := choice.Candidate.Server.InstanceID()
 	tried[instance] = true
 	g.quarantine.SetServer(q.quarantineID(), run.key, instance, g.now())
 	return g.sendTo(ctx, q, choice, heldPermit, rel)
@@ -318,6 +320,8 @@
 	var result sendResult
 	var notices *notice.ResponseNotices
 	if err != nil {
+		stats.NoResponse = true
+		g.notices.EndSend(server.InstanceID())
 		result, err = g.exchangeError(ctx, b, err)
 	} else {
 		defer resp.Close()
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -247,3 +247,85 @@
 		Expect(h.gateway.Notices().AllReports(time.Now())).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a server whose backoff has ended", func() {
+	const backoff = 100 * time.Millisecond
+
+	// startRecovering starts a harness in which all servers have just refused a request with a backoff, and waits
+	// until the backoff has ended.
+	startRecovering := func(workers int) *harness {
+		h := startHarness(workers)
+		h.setNextBehaviour(worker.Behaviour{Reject: true, RetryAfter: "0.1"})
+		for i := range workers {
+			h.post("/once/", fmt.Sprint("refused", i))
+		}
+		time.Sleep(backoff)
+		return h
+	}
+	// postConcurrently sends n requests at once and returns the number of responses by status.
+	postConcurrently := func(h *harness, path string, n int) map[int]int {
+		statuses := make(chan int, n)
+		for i := range n {
+			go func() { statuses <- h.post(path, fmt.Sprint(path[1:], i)).status }()
+		}
+		out := map[int]int{}
+		for range n {
+			out[<-statuses]++
+		}
+		return out
+	}
+
+	// Guards against a burst at the end of a backoff, before the first response states a rate limit that the
+	// server has set meanwhile.
+	DescribeTable("receives one request until it has responded", func(path string) {
+		h := startRecovering(1)
+		h.gateway.UsePeers(&fakePeers{decisions: []permit.Decision{{Verdict: permit.Granted}}})
+		h.gateway.SetGateways(1)
+		h.workers[0].SetHeaders("Server-Limit: 0.2")
+		before := h.workers[0].RequestCount()
+		statuses := postConcurrently(h, path, 30)
+		Expect(statuses[200] + statuses[429]).To(Equal(30))
+		Expect(h.workers[0].RequestCount() - before).To(BeNumerically("<=", 2)) // the initial level of the token bucket is random
+	},
+		Entry("plain requests", "/again/"),
+		Entry("prompts", "/stream/"),
+	)
+
+	// Guards against refusing requests that only have to wait for the first response.
+	DescribeTable("serves all requests once it has responded", func(path string) {
+		h := startRecovering(2)
+		Expect(postConcurrently(h, path, 30)).To(Equal(map[int]int{200: 30}))
+	},
+		Entry("plain requests", "/once/"),
+		Entry("prompts", "/stream/"),
+	)
+
+	It("receives the next request at once if the first one gets no response", func() {
+		h := startRecovering(1)
+		h.workers[0].QueueBehaviours(worker.Behaviour{DropConnection: true}, worker.Behaviour{DropConnection: true})
+		statuses := postConcurrently(h, "/once/", 5)
+		Expect(statuses[502]).To(Equal(2)) // they may have run
+		Expect(h.workers[0].RequestCount()).To(Equal(1 + 5))
+	})
+
+	// Guards against using a grant that does not take account of a rate limit in the first response.
+	It("requires another permit if it limits its rate in the first response", func() {
+		h := startRecovering(2)
+		fake := &fakePeers{decisions: []permit.Decision{{Verdict: permit.Granted, Engine: "i-0"}, {Verdict: permit.Granted, Engine: "i-1"}}}
+		h.gateway.UsePeers(fake)
+		h.gateway.SetGateways(1)
+		sentAt := time.Now()
+		first, _ := h.gateway.Notices().BeginSend("i-0", sentAt)
+		Expect(first).To(BeTrue())
+		fake.onRequest = func() {
+			time.AfterFunc(backoff, func() {
+				h.gateway.Notices().RecordResponse("i-0", notice.ResponseNotices{Limited: true, Limit: 0.2}, sentAt, time.Now())
+			})
+		}
+		before := h.workers[0].RequestCount()
+		Expect(h.post("/stream/", "a").status).To(Equal(200))
+		Expect(h.workers[0].RequestCount()).To(Equal(before))
+		Expect(fake.requests()).To(HaveLen(2))
+		Expect(fake.requests()[0].RecoveringEngines).To(ConsistOf("i-0", "i-1"))
+	})
+})
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -30,8 +30,8 @@
 	// maxGroupsPerSend limits the groups of engines that are asked for one send. If two groups
 	// of about 60 engines each have no capacity, the whole service most likely has none.
 	maxGroupsPerSend = 2
-	// maxExcludedEngines limits the unusable engines listed in the first permit request for a
-	// send, so that the request fits in a datagram.
+	// maxExcludedEngines limits the unusable and recovering engines listed in the first permit
+	// request for a send, so that the request fits in a datagram.
 	maxExcludedEngines = 16
 	// maxPermitRequests limits the permit requests for one send. A further one is needed if
 	// a group has refused, or if this gateway can no longer use the granted engine.
@@ -105,11 +105,12 @@
 	var unlisted []string // engines that were granted but are not among the candidates
 	for n, group := 0, 0; n < maxPermitRequests && group < min(maxGroupsPerSend, len(groups)); n++ {
 		req.ExcludedEngines, req.ExcludedFor = excludedEngines(candidates, unlisted)
+		req.RecoveringEngines = recoveringEngines(candidates, maxExcludedEngines-len(req.ExcludedEngines))
 		req.ID = fmt.Sprintf("%s/%d", q.info.ID, q.permitRequestCount)
 		q.permitRequestCount++
 		decision, heldPermit := g.peers.RequestPermit(ctx, permit.Group{Service: q.service, Index: groups[group]}, req)
 		if ctx.Err() != nil {
-			heldPermit.End(permit.StreamStats{})
+			heldPermit.End(permit.NotSent)
 			return placement.Choice{}, peers.Permit{}, contextError(ctx, false)
 		}
 		switch decision.Verdict {
@@ -126,14 +127,19 @@
 			continue
 		}
 		if decision.Engine == "" {
-			choice, err := g.chooseWithoutPermit(q, candidates)
+			choice, err := g.chooseWithoutPermit(ctx, q, tried)
 			return choice, peers.Permit{}, err
 		}
 		candidates = g.candidates(q.service, tried) // they may have changed: the wait may take seconds
-		if choice := grantedChoice(decision, candidates); choice.Candidate != nil {
+		choice := grantedChoice(decision, candidates)
+		if choice.Candidate != nil && g.beginGrantedSend(ctx, decision.Engine) {
 			return choice, heldPermit, nil
 		}
-		heldPermit.End(permit.StreamStats{})
+		heldPermit.End(permit.NotSent)
+		if ctx.Err() != nil {
+			return placement.Choice{}, peers.Permit{}, contextError(ctx, false)
+		}
+		candidates = g.candidates(q.service, tried)
 		if !slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return c.Server.InstanceID() == decision.Engine }) {
 			unlisted = append(unlisted, decision.Engine)
 		}
@@ -149,9 +155,10 @@
 }
 
 // chooseWithoutPermit selects a server when no gateway is available to decide on a permit.
-func (g *Gateway) chooseWithoutPermit(q *request, candidates []placement.Candidate) (placement.Choice, error) {
-	choice, err := g.chooseLocally(q, candidates)
+func (g *Gateway) chooseWithoutPermit(ctx context.Context, q *request, tried map[string]bool) (placement.Choice, error) {
+	choice, err := g.chooseLocally(ctx, q, tried)
 	if err == nil && !usable(*choice.Candidate) {
+		g.notices.EndSend(choice.Candidate.Server.InstanceID())
 		return placement.Choice{}, g.noServerError(q)
 	}
 	return choice, err
@@ -178,6 +185,18 @@
 	return engines, waits
 }
 
+// recoveringEngines returns up to limit engines to which this gateway can send the request, but which have not
+// responded to it since a backoff.
+func recoveringEngines(candidates []placement.Candidate, limit int) []string {
+	var out []string
+	for _, c := range candidates {
+		if usable(c) && c.Recovering && len(out) < limit {
+			out = append(out, c.Server.InstanceID())
+		}
+	}
+	return out
+}
+
 // grantedChoice returns the choice of the granted engine. It has no candidate if this gateway can no longer
 // use that engine.
 func grantedChoice(decision permit.Decision, candidates []placement.Candidate) placement.Choice {
--- a/internal/notice/registry.go
+++ b/internal/notice/registry.go
@@ -26,6 +26,7 @@
 	notify       func(Event)
 	serverCount  atomic.Int32  // len(servers), usually 0, for a check without the lock
 	reportsReady chan struct{} // signals that there are reports to send
+	recoveries   recoveries
 
 	mu      sync.Mutex
 	servers map[string]*serverState
@@ -64,7 +65,7 @@
 // NewRegistry returns an empty registry that applies rate limits to limits. Notify is called with
 // each change, under the registry's lock: it must not call the registry.
 func NewRegistry(limits *ratelimit.Limiter, notify func(Event)) *Registry {
-	return &Registry{limits: limits, notify: notify, reportsReady: make(chan struct{}, 1), servers: map[string]*serverState{}}
+	return &Registry{limits: limits, notify: notify, reportsReady: make(chan struct{}, 1), recoveries: newRecoveries(), servers: map[string]*serverState{}}
 }
 
 // Limits returns the limiter to which rate limits are applied.
@@ -77,11 +78,14 @@
 // Responses may arrive out of order, so a higher limit, or none, applies only if the request was sent after
 // the current limit was last received.
 func (r *Registry) RecordResponse(server string, n ResponseNotices, sent, now time.Time) {
-	if n.Empty() && r.Empty() {
+	if n.Empty() && r.Empty() && r.recoveries.empty() {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if n.Backoff == 0 {
+		defer r.recoveries.recordResponse(server, sent) // after a rate limit in the response has been applied
+	}
 	s := r.lookup(server, len(n.Kinds()) > 0, now)
 	if s == nil {
 		return
@@ -125,6 +129,7 @@
 func (r *Registry) setBackoff(server string, s *serverState, until, now time.Time) {
 	isNew := !now.Before(s.backoffUntil)
 	s.backoffUntil, s.backoffStatedAt = until, now
+	r.recoveries.begin(server, until)
 	if isNew {
 		r.notify(Event{Server: server, Kind: Backoff, Backoff: until.Sub(now)})
 	}
@@ -227,6 +232,7 @@
 // that have not been listed for unlistedRetention. It calls listed without holding the registry's lock,
 // because listed may acquire locks under which the registry is called.
 func (r *Registry) Sweep(listed func(server string) bool, now time.Time) {
+	r.recoveries.sweep(now)
 	if r.Empty() {
 		return
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -31,7 +31,7 @@
 	inboxSize = 1024
 )
 
-// message is one datagram. Exactly one field is set.
+// message is one datagram. Exactly one field is set, except that Notices may accompany FirstToken and End.
 type message struct {
 	Heartbeat      *heartbeat       `msgpack:"b,omitempty"`
 	PermitRequest  *permitRequest   `msgpack:"a,omitempty"`
@@ -245,6 +245,9 @@
 
 // handle processes a received message.
 func (p *Peers) handle(r receivedMessage, now time.Time) {
+	if r.Notices != nil {
+		p.handleNotices(r.Notices, r.from, now)
+	}
 	switch {
 	case r.Heartbeat != nil:
 		p.handleHeartbeat(*r.Heartbeat, r.from, now)
@@ -258,8 +261,6 @@
 		p.scheduler.Finish(r.End.Group, r.End.ID, r.End.StreamStats, now)
 	case r.Suspects != nil:
 		p.quarantine.Merge(r.Suspects, r.from.String(), now)
-	case r.Notices != nil:
-		p.handleNotices(r.Notices, r.from, now)
 	case r.Loans != nil:
 		p.handleLoans(r.Loans, r.from, now)
 	case r.RetryRequest != nil:
--- a/internal/peers/permits.go
+++ b/internal/peers/permits.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/permit"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
@@ -32,13 +33,15 @@
 	home  netip.AddrPort
 	group permit.Group
 	id    string
+	// engine is the ID of the engine that was granted.
+	engine string
 }
 
 // FirstToken reports to the home that the prefill is complete. TimeToFirstToken is the time from
 // sending the request to its first event.
 func (p Permit) FirstToken(timeToFirstToken time.Duration) {
 	if p.peers != nil {
-		p.peers.send(message{FirstToken: &firstToken{Group: p.group, ID: p.id, TimeToFirstToken: timeToFirstToken}}, p.home)
+		p.peers.send(message{FirstToken: &firstToken{Group: p.group, ID: p.id, TimeToFirstToken: timeToFirstToken}, Notices: p.notices()}, p.home)
 	}
 }
 
@@ -48,10 +51,22 @@
 		p.peers.mu.Lock()
 		delete(p.peers.heldPermits, p.id)
 		p.peers.mu.Unlock()
-		p.peers.send(message{End: &requestEnd{Group: p.group, ID: p.id, StreamStats: stats}}, p.home)
+		p.peers.send(message{End: &requestEnd{Group: p.group, ID: p.id, StreamStats: stats}, Notices: p.notices()}, p.home)
 	}
 }
 
+// notices returns this gateway's notices of the granted engine, if there are any. The home must know them before it
+// learns of the response: it then grants the engine further requests.
+func (p Permit) notices() []notice.Report {
+	if p.home == p.peers.self {
+		return nil
+	}
+	if report, known := p.peers.notices.Report(p.engine, time.Now()); known && (report.Limited || report.Draining) {
+		return []notice.Report{report}
+	}
+	return nil
+}
+
 // RequestPermit asks the group's home for permission to send a request, and waits while the permit
 // request is queued. If no home responds, the request may be sent anyway: the verdict is Granted without
 // an engine, and the Permit is zero. If ctx is done before the decision, the verdict is Refused.
@@ -76,7 +91,7 @@
 			p.mu.Lock()
 			p.heldPermits[request.ID] = home
 			p.mu.Unlock()
-			return decision, Permit{p, home, group, request.ID}
+			return decision, Permit{p, home, group, request.ID, decision.Engine}
 		}
 		p.mu.Lock()
 		p.members.markUnresponsive(home, time.Now())
@@ -122,7 +137,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			p.send(message{End: &requestEnd{Group: q.group, ID: q.request.ID}}, home)
+			p.send(message{End: &requestEnd{Group: q.group, ID: q.request.ID, StreamStats: permit.NotSent}}, home)
 			return permit.Decision{ID: q.request.ID, Verdict: permit.Refused}, true
 		case decision := <-ch:
 			if decision.Verdict != permit.Queued {
@@ -133,7 +148,7 @@
 		case <-timer.C:
 			if missed++; missed > maxMissedResponses {
 				// A home that is only stalled must not grant the request an engine later.
-				p.send(message{End: &requestEnd{Group: q.group, ID: q.request.ID}}, home)
+				p.send(message{End: &requestEnd{Group: q.group, ID: q.request.ID, StreamStats: permit.NotSent}}, home)
 				return permit.Decision{}, false
 			}
 			p.send(q.message(), home)
@@ -153,7 +168,7 @@
 		kept := d.Verdict == permit.Queued || d.Verdict == permit.Granted && d.Engine != ""
 		if kept && held != from {
 			telemetry.Count("merlinpost_permits_returned_total", "verdict", d.Verdict.String())
-			p.send(message{End: &requestEnd{ID: d.ID}}, from)
+			p.send(message{End: &requestEnd{ID: d.ID, StreamStats: permit.NotSent}}, from)
 		}
 		return
 	}
--- a/internal/permit/engine.go
+++ b/internal/permit/engine.go
@@ -5,6 +5,7 @@
 
 	"github.com/merlinpost/merlinpost/internal/enginemodel"
 	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/internal/slowstart"
 )
 
 const (
@@ -57,6 +58,10 @@
 	backoffUntil        time.Time
 	failureRate         registry.FailureRate
 	lastGrant           time.Time
+	// respondedTo is the time of the newest grant to which the engine has responded. ramp limits the
+	// grants to gateways that have not received a response since they backed off from the engine.
+	respondedTo time.Time
+	ramp        slowstart.Ramp
 }
 
 // completedPrefill is one prefill that an engine has completed.
--- a/internal/permit/place.go
+++ b/internal/permit/place.go
@@ -137,6 +137,9 @@
 	e.grantedAt, e.engine, e.prefillTokens, e.cachedTokens, e.expectedPrefill, e.fetchFrom = now, c.engine, c.prefillTokens, c.cachedTokens, c.prefill, c.fetchFrom
 	e.prefillDeadline = now.Add(prefillTimeoutFactor*(c.wait+c.prefill) + prefillTimeoutMargin)
 	c.engine.lastGrant = now
+	if c.engine.awaitsResponse(e.restrictions, now) {
+		c.engine.ramp.Add(now)
+	}
 	if e.request.Plain {
 		c.engine.startPlainRequest(e, now)
 	} else {
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -183,6 +183,7 @@
 	}
 	q.prefillsDone++
 	e.engine.recordSuccess(now)
+	e.engine.recordResponse(e)
 	q.prefixes.recordUse(e.request.PrefixID, e.engine.ID, now)
 	e.engine.finishPrefill(e, now)
 }
@@ -194,6 +195,7 @@
 			e.engine.observeStream(q.model, e, stats)
 		}
 		e.engine.release(e, now)
+		q.recordEnd(e, stats)
 		switch {
 		case e.request.Plain: // no backoff: the requesting gateway itself excludes servers that it can't reach
 			e.engine.failureRate.Add(now, stats.EngineFailed)
@@ -312,6 +314,17 @@
 	})
 }
 
+// recordEnd records whether the engine has responded to a granted request that has ended. The response to a prompt
+// is recorded with its first token.
+func (q *Queue) recordEnd(e *entry, stats StreamStats) {
+	switch {
+	case stats.EngineFailed || stats.NoResponse:
+		e.engine.ramp.Reset()
+	case e.request.Plain:
+		e.engine.recordResponse(e)
+	}
+}
+
 func (q *Queue) grantDecision(e *entry, now time.Time) Decision {
 	d := q.newDecision(e.request.ID, Granted, 0, now)
 	d.Engine, d.FetchFrom, d.ExpectedPrefill = e.engine.ID, e.fetchFrom, e.expectedPrefill
--- a/internal/permit/restrictions.go
+++ b/internal/permit/restrictions.go
@@ -11,16 +11,20 @@
 // never is the wait for an engine that a request can't use at all.
 const never = time.Duration(math.MaxInt64)
 
-// restrictions are the engines that the gateway of a request can't use, with the time from which it may use each,
-// or the zero time if the request can't use the engine at all. Most requests have none.
+// restrictions are the engines that the gateway of a request can't use, or may use only to a limited extent,
+// with the time from which it may use each, or the zero time if the request can't use the engine at all. Most
+// requests have none.
 type restrictions map[string]time.Time
 
 // newRestrictions returns the restrictions that a request states.
 func newRestrictions(req Ask, now time.Time) restrictions {
-	if len(req.ExcludedEngines) == 0 {
+	if len(req.ExcludedEngines) == 0 && len(req.RecoveringEngines) == 0 {
 		return nil
 	}
-	r := make(restrictions, len(req.ExcludedEngines))
+	r := make(restrictions, len(req.ExcludedEngines)+len(req.RecoveringEngines))
+	for _, id := range req.RecoveringEngines {
+		r[id] = now
+	}
 	for i, id := range req.ExcludedEngines {
 		r[id] = time.Time{}
 		if i < len(req.ExcludedFor) && req.ExcludedFor[i] > 0 {
@@ -62,8 +66,20 @@
 	return strings.Join(parts, ",")
 }
 
-// mayUse reports whether the gateway of a request may use an engine now.
-func (e *entry) mayUse(g *engine, now time.Time) bool { return e.restrictions.wait(g.ID, now) == 0 }
+// endedAt returns when the gateway's pause for an engine ended, and false if there was none or it has not ended.
+func (r restrictions) endedAt(engine string, now time.Time) (time.Time, bool) {
+	usableFrom, restricted := r[engine]
+	return usableFrom, restricted && !usableFrom.IsZero() && !now.Before(usableFrom)
+}
+
+// mayUse reports whether the request may be granted on an engine now: its gateway does not exclude the engine, and
+// after a pause the engine has responded to a request or slow start permits another one.
+func (e *entry) mayUse(g *engine, now time.Time) bool {
+	if len(e.restrictions) == 0 {
+		return true
+	}
+	return e.restrictions.wait(g.ID, now) == 0 && (!g.awaitsResponse(e.restrictions, now) || g.ramp.Wait(now) == 0)
+}
 
 // mayUseAny reports whether the request may be granted on any of the engines now.
 func (e *entry) mayUseAny(engines []*engine, now time.Time) bool {
@@ -74,3 +90,18 @@
 	}
 	return false
 }
+
+// awaitsResponse reports whether the engine has not responded to any request that was granted since the pause of a
+// gateway with these restrictions ended.
+func (g *engine) awaitsResponse(r restrictions, now time.Time) bool {
+	since, ended := r.endedAt(g.ID, now)
+	return ended && g.respondedTo.Before(since)
+}
+
+// recordResponse records that the engine has responded to a granted request.
+func (g *engine) recordResponse(granted *entry) {
+	if granted.grantedAt.After(g.respondedTo) {
+		g.respondedTo = granted.grantedAt
+	}
+	g.ramp.Reset()
+}
--- a/internal/permit/restrictions_test.go
+++ b/internal/permit/restrictions_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/merlinpost/merlinpost/internal/slowstart"
 )
 
 // excluding returns a plain request whose gateway can't use e0 for the given time, 0 for the whole request.
@@ -75,3 +77,49 @@
 	b.ExcludedEngines = []string{"e0"}
 	g.Expect(q.Submit(b, now).Wait).To(BeNumerically(">", 200*time.Millisecond), "until the other prefill ends")
 }
+
+// Guards against a burst at the end of a backoff: requests that waited for the engine were granted together,
+// before its first response showed whether it limits its rate.
+func TestEngineRecoversBySlowStart(t *testing.T) {
+	for _, backoff := range []time.Duration{0, 400 * time.Millisecond} {
+		g := NewWithT(t)
+		q, now := newQueue(1)
+		for i := range 20 {
+			a := excluding(fmt.Sprint(i), backoff)
+			if backoff == 0 {
+				a = plainRequest(a.ID, 0)
+				a.RecoveringEngines = []string{"e0"}
+			}
+			q.Submit(a, now)
+		}
+		now = now.Add(backoff)
+		q.Poll(now)
+		g.Expect(len(q.granted)).To(Equal(1), "after a backoff of %s", backoff)
+		q.Submit(plainRequest("of another gateway", 0), now)
+		q.Poll(now)
+		g.Expect(len(q.granted)).To(Equal(2), "other gateways are not affected")
+		now = now.Add(slowstart.DoublingTime)
+		g.Expect(granted(q.Poll(now))).To(HaveLen(1), "while there is no response")
+		for id := range q.granted {
+			q.Finish(id, StreamStats{}, now)
+		}
+		q.Poll(now)
+		g.Expect(q.waiting).To(BeEmpty(), "after a response")
+	}
+}
+
+// Guards against taking a request that was not sent, or that failed, for a response of the engine.
+func TestOnlyAResponseEndsSlowStart(t *testing.T) {
+	g := NewWithT(t)
+	for _, stats := range []StreamStats{NotSent, {EngineFailed: true}} {
+		q, now := newQueue(1)
+		for i := range 20 {
+			a := plainRequest(fmt.Sprint(i), 0)
+			a.RecoveringEngines = []string{"e0"}
+			q.Submit(a, now)
+		}
+		g.Expect(q.granted).To(HaveKey("0"))
+		q.Finish("0", stats, now)
+		g.Expect(q.Poll(now)).To(HaveLen(1), "another request takes its place")
+	}
+}
--- a/internal/permit/types.go
+++ b/internal/permit/types.go
@@ -67,6 +67,9 @@
 	// ExcludedFor is the time after which the gateway can use each of the ExcludedEngines, in the same
 	// order. 0 and missing elements mean that the request can't use the engine at all.
 	ExcludedFor []time.Duration `msgpack:"x,omitempty"`
+	// RecoveringEngines are the IDs of engines that have not responded to the gateway since their
+	// backoff ended. They get the gateway's requests by slow start.
+	RecoveringEngines []string `msgpack:"c,omitempty"`
 }
 
 // Verdict is the result of scheduling a request.
@@ -132,4 +135,9 @@
 	LongestGap time.Duration `msgpack:"l,omitempty"`
 	// EngineFailed reports whether the response ended because of an engine fault.
 	EngineFailed bool `msgpack:"f,omitempty"`
+	// NoResponse reports whether the engine has not responded, or was not sent the request.
+	NoResponse bool `msgpack:"u,omitempty"`
 }
+
+// NotSent are the statistics of a granted request that was not sent to the engine.
+var NotSent = StreamStats{NoResponse: true}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,6 +48,8 @@
 	Tried bool
 	// RetryAfter is the remaining time for which the server has asked this gateway to send nothing.
 	RetryAfter time.Duration
+	// Recovering reports whether the server has not responded to this gateway since the end of such a time.
+	Recovering bool
 }
 
 // Request contains the properties of a request on which the choice depends.
