Count the time that a request has waited in its next permit request

Callers saw: a request could wait up to twice as long as its caller does: once for each of two groups of engines, or again after a permit that could not be used. Found by reading, while the waits for permits were searched for the cause of the held prompts; not seen in a run.

Cause: the remaining times were computed once and stated unchanged in each of up to four permit requests. A request that was sent again to another home stated the whole response timeout.

Change: the times are computed for each permit request, and a resent one subtracts the elapsed time from the response timeout too.

The spec fails without the change: the second request states the same times after a wait of 0.2 s.

--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -96,14 +96,14 @@
 		key = q.info.ID
 	}
 	groups := placement.RankGroups(key, g.groupCount(q.service))
-	req := g.permitRequest(q, rel)
-	// A request that must run isolated does not get the precedence of resumed streams. Otherwise a resumable
-	// stream that crashes servers would crash one after another, ahead of all other requests.
-	req.Resumed = req.Resumed && !run.isolated
 	g.recordNotices(q)
 	var refused permit.Decision
 	var unlisted []string // engines that were granted but are not among the candidates
 	for n, group := 0, 0; n < maxPermitRequests && group < min(maxGroupsPerSend, len(groups)); n++ {
+		req := g.permitRequest(q, rel)
+		// A request that must run isolated does not get the precedence of resumed streams. Otherwise a resumable
+		// stream that crashes servers would crash one after another, ahead of all other requests.
+		req.Resumed = req.Resumed && !run.isolated
 		req.ExcludedEngines, req.ExcludedFor = excludedEngines(candidates, unlisted)
 		req.RecoveringEngines = recoveringEngines(candidates, maxExcludedEngines-len(req.ExcludedEngines))
 		req.ID = fmt.Sprintf("%s/%d", q.info.ID, q.permitRequestCount)
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -96,6 +96,18 @@
 		}
 	})
 
+	// Guards against requests that wait for several times as long as their callers do.
+	It("counts the wait for a permit that it could not use", func() {
+		h, fake := start(1, granted("i-9"), granted("i-0"))
+		const wait = 200 * time.Millisecond
+		fake.onRequest = func() { time.Sleep(wait) }
+		Expect(h.post("/report/x", "r1").status).To(Equal(200))
+		first, second := fake.permitRequests[0], fake.permitRequests[1]
+		Expect(second.FirstTokenTarget).To(BeNumerically("<=", first.FirstTokenTarget-wait))
+		Expect(second.FirstTokenTimeout).To(BeNumerically("<=", first.FirstTokenTimeout-wait))
+		Expect(second.ResponseTimeout).To(BeNumerically("<=", first.ResponseTimeout-wait))
+	})
+
 	It("limits the number of permit requests", func() {
 		h, fake := start(1, granted("i-9"))
 		resp := h.post("/report/x", "r1")
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -208,6 +208,21 @@
 	}
 }
 
+// Guards against a home that counts the times of a request from when the request is sent again.
+func TestResentPermitRequestHasRemainingTimes(t *testing.T) {
+	g := NewWithT(t)
+	const elapsed = time.Second
+	original := permit.Ask{FirstTokenTarget: 300 * time.Millisecond, FirstTokenTimeout: 2 * time.Second, ResponseTimeout: 5 * time.Second,
+		ExcludedEngines: []string{"backoff", "ended backoff", "failed"}, ExcludedFor: []time.Duration{4 * time.Second, 400 * time.Millisecond, 0}}
+	resent := pendingRequest{group, original, time.Now().Add(-elapsed)}.message().PermitRequest.Ask
+	g.Expect(resent.FirstTokenTarget).To(BeNumerically("<=", original.FirstTokenTarget-elapsed))
+	g.Expect(resent.FirstTokenTimeout).To(BeNumerically("<=", original.FirstTokenTimeout-elapsed))
+	g.Expect(resent.ResponseTimeout).To(BeNumerically("<=", original.ResponseTimeout-elapsed))
+	g.Expect(resent.ExcludedFor[0]).To(BeNumerically("<=", 3*time.Second))
+	g.Expect(resent.ExcludedFor[1:]).To(Equal([]time.Duration{1, 0}), "usable now, and never")
+	g.Expect(original.ExcludedFor[0]).To(Equal(4*time.Second), "the original is not modified")
+}
+
 // suspects returns the given number of suspected requests, each with the given number of server crashes.
 func suspects(requests, crashes int) []quarantine.Update {
 	tracker, now := quarantine.New(), time.Unix(1000, 0)
--- a/internal/peers/permits.go
+++ b/internal/peers/permits.go
@@ -118,6 +118,9 @@
 	request, elapsed := q.request, time.Since(q.requestedAt)
 	request.FirstTokenTarget -= elapsed
 	request.FirstTokenTimeout = max(request.FirstTokenTimeout-elapsed, time.Millisecond)
+	if request.ResponseTimeout > 0 {
+		request.ResponseTimeout = max(request.ResponseTimeout-elapsed, time.Millisecond)
+	}
 	request.ExcludedFor = slices.Clone(request.ExcludedFor)
 	for i, wait := range request.ExcludedFor {
 		if wait > 0 {
