Process release notices of team limits in the order of the requests

A router that gets no response within 0.1 s sends a release notice. The home queued the request for another goroutine but processed the notice at once; if it came first, the grant stayed in place, counted towards the team's concurrency, and the team was refused below its limit until the sequence number was released again with later ones or the router restarted.

Change: requests and notices pass through the same queue.

The test fails without the change: the notice is processed before the request.

--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -19,8 +19,9 @@
 const (
 	// requestTimeout limits the wait for the home router's response, during which a caller's request is delayed.
 	requestTimeout = 100 * time.Millisecond
-	// requestQueueSize is the capacity of the queue of received grant requests. Further ones are dropped.
-	requestQueueSize = 1024
+	// homeQueueSize is the capacity of the queue of received grant requests and release notices. Further requests
+	// are dropped.
+	homeQueueSize = 1024
 )
 
 // message is the content of a datagram. Exactly one field is set. Fields are encoded by name;
@@ -62,45 +63,57 @@
 // Address returns the address that the socket is bound to.
 func (t *Transport) Address() string { return t.socket.Address().String() }
 
-// receivedRequest is a grant request and the address to respond to.
-type receivedRequest struct {
-	req  quota.GrantRequest
+// receivedMessage is a message with the address of its sender.
+type receivedMessage struct {
+	message
 	from netip.AddrPort
 }
 
 // Run receives messages until ctx is done. The calling goroutine reads from the socket; another
-// one responds to grant requests.
+// one processes the grant requests and the release notices, in the order in which they arrived: a
+// notice that overtook its request would leave the grant in place.
 func (t *Transport) Run(ctx context.Context) {
-	requests := make(chan receivedRequest, requestQueueSize)
-	var responding sync.WaitGroup
-	responding.Go(func() {
-		for r := range requests {
-			resp := t.home.Acquire(r.req)
-			t.socket.Send(message{Response: &resp}, r.from)
+	toHome := make(chan receivedMessage, homeQueueSize)
+	var processing sync.WaitGroup
+	processing.Go(func() {
+		for m := range toHome {
+			t.process(m)
 		}
 	})
-	t.socket.Receive(ctx, func(m message, from netip.AddrPort) { t.handle(m, from, requests) })
-	close(requests)
-	responding.Wait()
+	t.socket.Receive(ctx, func(m message, from netip.AddrPort) { t.handle(receivedMessage{m, from}, toHome) })
+	close(toHome)
+	processing.Wait()
 }
 
-func (t *Transport) handle(m message, from netip.AddrPort, requests chan<- receivedRequest) {
+func (t *Transport) handle(m receivedMessage, toHome chan<- receivedMessage) {
 	switch {
 	case m.Ping != "":
 		t.home.MarkReachable(m.Ping)
-	case m.Release != nil:
-		t.home.Release(*m.Release)
 	case m.Response != nil:
 		t.deliverResponse(*m.Response)
-	case m.Request != nil:
+	default:
 		select {
-		case requests <- receivedRequest{*m.Request, from}:
+		case toHome <- m:
 		default:
 			telemetry.Count("merlinpost_lending_overrun_total")
+			if m.Release != nil {
+				t.home.Release(*m.Release)
+			}
 		}
 	}
 }
 
+// process processes a grant request or a release notice.
+func (t *Transport) process(m receivedMessage) {
+	switch {
+	case m.Release != nil:
+		t.home.Release(*m.Release)
+	case m.Request != nil:
+		resp := t.home.Acquire(*m.Request)
+		t.socket.Send(message{Response: &resp}, m.from)
+	}
+}
+
 // deliverResponse passes a response to the Acquire call that waits for it.
 func (t *Transport) deliverResponse(resp quota.GrantResponse) {
 	t.mu.Lock()
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
@@ -18,8 +21,10 @@
 func (fakeHome) Release(quota.ReleaseNotice)                          {}
 func (fakeHome) MarkReachable(string)                                 {}
 
-func startTransport(t *testing.T, acquire fakeHome) *Transport {
-	transport, err := Open("127.0.0.1:0", acquire)
+func startTransport(t *testing.T, acquire fakeHome) *Transport { return startTransportOf(t, acquire) }
+
+func startTransportOf(t *testing.T, home Home) *Transport {
+	transport, err := Open("127.0.0.1:0", home)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,6 +49,42 @@
 	g.Expect(resp.RetryAfterMS).To(BeEquivalentTo(7))
 }
 
+// orderedHome is a Home that records the order of its calls. Its first Acquire call blocks until proceed is closed.
+type orderedHome struct {
+	proceed chan struct{}
+	calls   chan string
+}
+
+func (h orderedHome) Acquire(req quota.GrantRequest) quota.GrantResponse {
+	<-h.proceed
+	h.calls <- fmt.Sprint("acquire ", req.Seq)
+	return quota.GrantResponse{Seq: req.Seq, Granted: true}
+}
+
+func (h orderedHome) Release(n quota.ReleaseNotice) { h.calls <- fmt.Sprint("release ", n.Seqs) }
+func (orderedHome) MarkReachable(string)            {}
+
+// Guards against grants that are never released: a router that has given up on a stalled home sends it the release
+// notice after the request, and the home processed the notice first.
+func TestReleaseDoesNotOvertakeItsRequest(t *testing.T) {
+	g := NewWithT(t)
+	home := orderedHome{make(chan struct{}), make(chan string, 10)}
+	transport := startTransportOf(t, home)
+	proceed := sync.OnceFunc(func() { close(home.proceed) })
+	t.Cleanup(proceed)
+	router := startTransport(t, nil)
+	for seq := range uint64(2) {
+		_, ok := router.Acquire(context.Background(), transport.Address(), quota.GrantRequest{Seq: seq, Team: "t"})
+		g.Expect(ok).To(BeFalse())
+		router.Release(transport.Address(), quota.ReleaseNotice{Team: "t", Seqs: []uint64{seq}})
+	}
+	g.Consistently(home.calls, 100*time.Millisecond).ShouldNot(Receive(), "the first request has not been decided")
+	proceed()
+	for _, call := range []string{"acquire 0", "release [0]", "acquire 1", "release [1]"} {
+		g.Eventually(home.calls).Should(Receive(Equal(call)))
+	}
+}
+
 // Guards against a home that stops responding after a malformed datagram, and against
 // leaking the state of a request that times out.
 func TestAcquireSurvivesMalformedDatagramsAndTimesOut(t *testing.T) {
