Let only requests of a slow start end it

Found when the change was read again: a request that was sent before the backoff and ended, failed or was answered after it restarted slow start, so that each such request admitted another one. A permit without an engine was kept as held although its end is never reported.

Change: a ramp ends only by a request that was sent since it began; a decision without an engine gives no permit to end. TestEarlierRequestsDoNotEndTheRamp covers the first.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -100,12 +100,12 @@
 	}
 	instance := choice.Candidate.Server.InstanceID()
 	if err := g.recheckQuarantine(q, run, ran); err != nil {
-		g.notices.EndSend(instance)
+		g.notices.EndSend(instance, g.now())
 		heldPermit.End(permit.NotSent)
 		return unsent, err
 	}
 	if !g.renewRetry(q) {
-		g.notices.EndSend(instance)
+		g.notices.EndSend(instance, g.now())
 		heldPermit.End(permit.NotSent)
 		return unsent, nil
 	}
@@ -321,7 +321,7 @@
 	var notices *notice.ResponseNotices
 	if err != nil {
 		stats.NoResponse = true
-		g.notices.EndSend(server.InstanceID())
+		g.notices.EndSend(server.InstanceID(), sentAt)
 		result, err = g.exchangeError(ctx, b, err)
 	} else {
 		defer resp.Close()
--- a/internal/gateway/choose_server.go
+++ b/internal/gateway/choose_server.go
@@ -48,7 +48,7 @@
 		case g.notices.Limits().Allow(choice.Candidate.Server.InstanceID(), g.now()):
 			return choice, nil
 		default: // a concurrent request has exhausted the server's rate limit in the meantime
-			g.notices.EndSend(choice.Candidate.Server.InstanceID())
+			g.notices.EndSend(choice.Candidate.Server.InstanceID(), g.now())
 		}
 	}
 }
@@ -102,7 +102,7 @@
 		ok, wait := g.notices.BeginSend(instance, g.now())
 		switch {
 		case ok && !limited && g.notices.Limits().Limited(instance):
-			g.notices.EndSend(instance)
+			g.notices.EndSend(instance, g.now())
 			return false
 		case ok:
 			return true
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -158,7 +158,7 @@
 func (g *Gateway) chooseWithoutPermit(ctx context.Context, q *request, tried map[string]bool) (placement.Choice, error) {
 	choice, err := g.chooseLocally(ctx, q, tried)
 	if err == nil && !usable(*choice.Candidate) {
-		g.notices.EndSend(choice.Candidate.Server.InstanceID())
+		g.notices.EndSend(choice.Candidate.Server.InstanceID(), g.now())
 		return placement.Choice{}, g.noServerError(q)
 	}
 	return choice, err
--- a/internal/notice/recovery.go
+++ b/internal/notice/recovery.go
@@ -128,15 +128,15 @@
 }
 
 // EndSend records that a request for which BeginSend returned true was not sent, or that the server did not respond
-// to it. Another request may then be sent immediately.
-func (r *Registry) EndSend(server string) {
+// to it. Another request may then be sent immediately, unless sentAt is before the end of the backoff.
+func (r *Registry) EndSend(server string, sentAt time.Time) {
 	if r.recoveries.empty() {
 		return
 	}
 	r.recoveries.mu.Lock()
 	defer r.recoveries.mu.Unlock()
 	if s := r.recoveries.servers[server]; s != nil {
-		s.ramp.Reset()
+		s.ramp.End(sentAt)
 		s.wake()
 	}
 }
--- a/internal/notice/recovery_test.go
+++ b/internal/notice/recovery_test.go
@@ -49,7 +49,7 @@
 	ok, _ := r.BeginSend(server, at(1000))
 	g.Expect(ok).To(BeTrue())
 	_, wait := r.BeginSend(server, at(1001))
-	r.EndSend(server)
+	r.EndSend(server, at(1000))
 	g.Expect(wait.Changed).To(BeClosed())
 	ok, _ = r.BeginSend(server, at(1002))
 	g.Expect(ok).To(BeTrue())
--- a/internal/peers/permits.go
+++ b/internal/peers/permits.go
@@ -85,7 +85,7 @@
 		p.mu.Unlock()
 		decision, responded := p.requestFromHome(ctx, home, pendingRequest{group, request, start}, ch)
 		if responded {
-			if decision.Verdict != permit.Granted {
+			if decision.Verdict != permit.Granted || decision.Engine == "" {
 				return decision, Permit{}
 			}
 			p.mu.Lock()
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -319,7 +319,7 @@
 func (q *Queue) recordEnd(e *entry, stats StreamStats) {
 	switch {
 	case stats.EngineFailed || stats.NoResponse:
-		e.engine.ramp.Reset()
+		e.engine.ramp.End(e.grantedAt)
 	case e.request.Plain:
 		e.engine.recordResponse(e)
 	}
--- a/internal/permit/restrictions.go
+++ b/internal/permit/restrictions.go
@@ -103,5 +103,5 @@
 	if granted.grantedAt.After(g.respondedTo) {
 		g.respondedTo = granted.grantedAt
 	}
-	g.ramp.Reset()
+	g.ramp.End(granted.grantedAt)
 }
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -41,5 +41,10 @@
 	r.sent++
 }
 
-// Reset starts again with one request.
-func (r *Ramp) Reset() { *r = Ramp{} }
+// End records that the wait for the response to a request is over: there was one, or there will be none. The ramp then
+// starts again with one request, unless the request was sent before the pause ended.
+func (r *Ramp) End(sentAt time.Time) {
+	if !sentAt.Before(r.firstAt) {
+		*r = Ramp{}
+	}
+}
--- a/internal/slowstart/slowstart_test.go
+++ b/internal/slowstart/slowstart_test.go
@@ -23,6 +23,16 @@
 	g.Expect(sent(start.Add(DoublingTime - 1))).To(BeZero())
 	g.Expect(sent(start.Add(DoublingTime))).To(Equal(1))
 	g.Expect(sent(start.Add(4 * DoublingTime))).To(Equal(14))
-	r.Reset()
+	r.End(start)
 	g.Expect(sent(start.Add(5 * DoublingTime))).To(Equal(1))
 }
+
+// Guards against a burst while requests end that were sent before the pause.
+func TestEarlierRequestsDoNotEndTheRamp(t *testing.T) {
+	g := NewWithT(t)
+	var r Ramp
+	start := time.Unix(100, 0)
+	r.Add(start)
+	r.End(start.Add(-time.Millisecond))
+	g.Expect(r.Wait(start)).To(Equal(DoublingTime))
+}
