Log how long a refused request waited for a permit and why

The decision line of a refused request gave the backlog and the expected wait. Neither tells why idle engines took nothing: whether they were in backoff after failures, or kept for prompts whose first token was not reported.

The refusal now includes both numbers ("resting", "reading"), and "took" is the time that the request waited for this permit.

--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -108,6 +108,7 @@
 		req.RecoveringEngines = recoveringEngines(candidates, maxExcludedEngines-len(req.ExcludedEngines))
 		req.ID = fmt.Sprintf("%s/%d", q.info.ID, q.permitRequestCount)
 		q.permitRequestCount++
+		requestedAt := g.now()
 		decision, heldPermit := g.peers.RequestPermit(ctx, permit.Group{Service: q.service, Index: groups[group]}, req)
 		if ctx.Err() != nil {
 			heldPermit.End(permit.NotSent)
@@ -115,11 +116,11 @@
 		}
 		switch decision.Verdict {
 		case permit.NoEngine:
-			g.recordRefusal(q, decision)
+			g.recordRefusal(q, decision, requestedAt)
 			group++
 			continue
 		case permit.Refused:
-			g.recordRefusal(q, decision)
+			g.recordRefusal(q, decision, requestedAt)
 			if refused.ID == "" || decision.Wait < refused.Wait {
 				refused = decision
 			}
@@ -214,9 +215,10 @@
 }
 
 // recordRefusal adds a refused permit request to the request's send records.
-func (g *Gateway) recordRefusal(q *request, decision permit.Decision) {
+func (g *Gateway) recordRefusal(q *request, decision permit.Decision, requestedAt time.Time) {
+	now := g.now()
 	q.sends = append(q.sends, sendRecord{Result: decision.Verdict.String(), Wait: decision.Wait, PendingPrefillTokens: int64(decision.BacklogTokens), RateLimitedServers: decision.RateLimitedEngines,
-		SentAfter: g.now().Sub(q.start)})
+		ServersInBackoff: decision.EnginesInBackoff, PrefillingServers: decision.PrefillingEngines, SentAfter: now.Sub(q.start), Took: now.Sub(requestedAt)})
 }
 
 // callerWait returns how long a caller of the route is expected to wait for the first or the next event.
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -125,6 +125,13 @@
 		Expect(h.runs()).To(BeEmpty())
 	})
 
+	It("logs how long a refused request waited, and why the engines took none", func() {
+		h, fake := start(2, permit.Decision{Verdict: permit.Refused, BacklogTokens: 89000, EnginesInBackoff: 2, PrefillingEngines: 1})
+		fake.onRequest = func() { time.Sleep(20 * time.Millisecond) }
+		Expect(h.post("/report/x", "r1").status).To(Equal(429))
+		Expect(h.log.String()).To(MatchRegexp(`"result":"refused","resting":2,"reading":1,"running":0,"unread":89000,"at":\d{8,},"took":\d{8,}`))
+	})
+
 	It("chooses a server itself if the permit names no engine", func() {
 		h, _ := start(2, permit.Decision{Verdict: permit.Granted})
 		Expect(h.post("/report/x", "r1").status).To(Equal(200))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -71,6 +71,10 @@
 	TimeToFirstEvent time.Duration `json:"first,omitempty"`  // measured time to the first event
 	// RateLimitedServers is the number of servers that had reached their stated rate limits when a permit was refused.
 	RateLimitedServers int `json:"limited,omitempty"`
+	// ServersInBackoff and PrefillingServers are the numbers of servers that got no requests because of failures, and
+	// that had prompts whose first token was not reported, when a permit was refused.
+	ServersInBackoff  int `json:"resting,omitempty"`
+	PrefillingServers int `json:"reading,omitempty"`
 	// Running is the number of this gateway's requests in progress at the server when it was chosen.
 	Running int `json:"running"`
 	// PendingPrefillTokens is the number of prompt tokens of those requests that had not produced a first token. In the
@@ -78,7 +82,7 @@
 	PendingPrefillTokens int64         `json:"unread"`
 	LongestGap           time.Duration `json:"longest,omitempty"` // longest time between two consecutive events
 	SentAfter            time.Duration `json:"at"`                // time from the request's arrival to this send
-	Took                 time.Duration `json:"took"`              // time until the response was relayed or the send failed
+	Took                 time.Duration `json:"took"`              // time until the response was relayed, the send failed or the permit was refused
 	// ServerExited is set if the connection broke because the server process exited.
 	ServerExited bool `json:"ended,omitempty"`
 	// Notices are the notices in the response headers, or nil if there are none.
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -333,15 +333,22 @@
 
 // newDecision returns a decision that includes the state of the group.
 func (q *Queue) newDecision(id string, verdict Verdict, wait time.Duration, now time.Time) Decision {
-	backlog, limited, allLimited := 0, 0, q.allRateLimited(now)
+	d := Decision{ID: id, Verdict: verdict, Wait: wait}
+	allLimited := q.allRateLimited(now)
 	for _, e := range q.sortedEngines {
-		backlog += e.pendingPrefillTokens
+		d.BacklogTokens += e.pendingPrefillTokens
+		if e.Accepting && now.Before(e.backoffUntil) {
+			d.EnginesInBackoff++
+		}
+		if e.pendingPrefills > 0 {
+			d.PrefillingEngines++
+		}
 		if b := q.limiter.Budget(e.ID, now); b.Wait > 0 || allLimited && b.Limited {
-			limited++
+			d.RateLimitedEngines++
 		}
 	}
 	for _, waiting := range q.waiting {
-		backlog += waiting.request.UniqueTokens
+		d.BacklogTokens += waiting.request.UniqueTokens
 	}
-	return Decision{ID: id, Verdict: verdict, Wait: wait, BacklogTokens: backlog, RateLimitedEngines: limited}
+	return d
 }
--- a/internal/permit/queue_test.go
+++ b/internal/permit/queue_test.go
@@ -575,5 +575,7 @@
 	}
 	a := backgroundRequest("a", 5000)
 	a.FirstTokenTimeout = q.engines["e0"].backoffUntil.Sub(now) + 100*time.Millisecond
-	g.Expect(q.Submit(a, now).Verdict).To(Equal(NoEngine))
+	d := q.Submit(a, now)
+	g.Expect(d.Verdict).To(Equal(NoEngine))
+	g.Expect(d.EnginesInBackoff).To(Equal(1))
 }
--- a/internal/permit/types.go
+++ b/internal/permit/types.go
@@ -122,6 +122,10 @@
 	// RateLimitedEngines is the number of engines that accept no request now because of their rate
 	// limits. If all accepting engines have a rate limit, all engines with one are counted.
 	RateLimitedEngines int `msgpack:"l,omitempty"`
+	// EnginesInBackoff is the number of engines that get no request now because of failures, and
+	// PrefillingEngines the number of engines with granted prompts whose first token is not reported.
+	EnginesInBackoff  int `msgpack:"o,omitempty"`
+	PrefillingEngines int `msgpack:"p,omitempty"`
 }
 
 // StreamStats are the statistics of the response to a granted request, as observed by its gateway.
