List unusable engines anew for each group of engines

Found when the change was read again: while one group was asked, which may take seconds, backoffs end. The request to the next group still stated the engines and times from before.

Change: the candidates are read before each permit request. Building the request is a function of its own. The spec fails without the change: the second request excludes an engine whose backoff has ended.

--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -100,14 +100,10 @@
 	var refused permit.Decision
 	var unlisted []string // engines that were granted but are not among the candidates
 	for n, group := 0, 0; n < maxPermitRequests && group < min(maxGroupsPerSend, len(groups)); n++ {
-		req := g.permitRequest(q, rel)
-		// A request that must run isolated does not get the precedence of resumed streams. Otherwise a resumable
-		// stream that crashes servers would crash one after another, ahead of all other requests.
-		req.Resumed = req.Resumed && !run.isolated
-		req.ExcludedEngines, req.ExcludedFor = excludedEngines(candidates, unlisted)
-		req.RecoveringEngines = recoveringEngines(candidates, maxExcludedEngines-len(req.ExcludedEngines))
-		req.ID = fmt.Sprintf("%s/%d", q.info.ID, q.permitRequestCount)
-		q.permitRequestCount++
+		if n > 0 {
+			candidates = g.candidates(q.service, tried) // they may have changed: the wait may take seconds
+		}
+		req := g.nextPermitRequest(q, run, rel, candidates, unlisted)
 		requestedAt := g.now()
 		decision, heldPermit := g.peers.RequestPermit(ctx, permit.Group{Service: q.service, Index: groups[group]}, req)
 		if ctx.Err() != nil {
@@ -131,7 +127,7 @@
 			choice, err := g.chooseWithoutPermit(ctx, q, tried)
 			return choice, peers.Permit{}, err
 		}
-		candidates = g.candidates(q.service, tried) // they may have changed: the wait may take seconds
+		candidates = g.candidates(q.service, tried)
 		choice := grantedChoice(decision, candidates)
 		if choice.Candidate != nil && g.beginGrantedSend(ctx, decision.Engine) {
 			return choice, heldPermit, nil
@@ -140,7 +136,6 @@
 		if ctx.Err() != nil {
 			return placement.Choice{}, peers.Permit{}, contextError(ctx, false)
 		}
-		candidates = g.candidates(q.service, tried)
 		if !slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return c.Server.InstanceID() == decision.Engine }) {
 			unlisted = append(unlisted, decision.Engine)
 		}
@@ -155,6 +150,19 @@
 		WithOutcome(fault.NotRun).WithRetryAfter(refused.Wait)
 }
 
+// nextPermitRequest returns the permit request for the current candidates. The request can't use the unlisted engines.
+func (g *Gateway) nextPermitRequest(q *request, run trackedRun, rel *relay, candidates []placement.Candidate, unlisted []string) permit.Ask {
+	req := g.permitRequest(q, rel)
+	// A request that must run isolated does not get the precedence of resumed streams. Otherwise a resumable
+	// stream that crashes servers would crash one after another, ahead of all other requests.
+	req.Resumed = req.Resumed && !run.isolated
+	req.ExcludedEngines, req.ExcludedFor = excludedEngines(candidates, unlisted)
+	req.RecoveringEngines = recoveringEngines(candidates, maxExcludedEngines-len(req.ExcludedEngines))
+	req.ID = fmt.Sprintf("%s/%d", q.info.ID, q.permitRequestCount)
+	q.permitRequestCount++
+	return req
+}
+
 // chooseWithoutPermit selects a server when no gateway is available to decide on a permit.
 func (g *Gateway) chooseWithoutPermit(ctx context.Context, q *request, tried map[string]bool) (placement.Choice, error) {
 	choice, err := g.chooseLocally(ctx, q, tried)
@@ -226,7 +234,7 @@
 	return max(minCallerWait, callerWaitLatencyFactor*r.TargetLatency, callerWaitGapFactor*r.TargetGap)
 }
 
-// permitRequest returns a permit request whose ID and ExcludedEngines are not set.
+// permitRequest returns a permit request whose ID and lists of engines are not set.
 func (g *Gateway) permitRequest(q *request, rel *relay) permit.Ask {
 	prompt := q.info.Prompt
 	prefixID, prefixTokens := prompt.SharedPrefix()
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"slices"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/peers"
 	"github.com/merlinpost/merlinpost/internal/permit"
 	"github.com/merlinpost/merlinpost/internal/registry"
@@ -108,6 +110,25 @@
 		Expect(second.ResponseTimeout).To(BeNumerically("<=", first.ResponseTimeout-wait))
 	})
 
+	// Guards against excluding an engine whose backoff has ended while another group was asked.
+	It("lists the engines that it can't use anew for each group", func() {
+		h, fake := start(1, permit.Decision{Verdict: permit.Refused}, granted("i-0"))
+		var list []registry.Server
+		for i := range 70 { // two groups
+			list = append(list, registry.Server{ID: fmt.Sprint("i-", i), Service: "s", Address: h.workers[0].Address(), Slots: 8})
+		}
+		h.servers.Replace(list, time.Now(), time.Time{})
+		const backoff = 100 * time.Millisecond
+		h.gateway.Notices().RecordResponse("i-0", notice.ResponseNotices{Backoff: backoff}, time.Now(), time.Now())
+		fake.onRequest = func() { time.Sleep(backoff) }
+		Expect(h.post("/report/x", "r1").status).To(Equal(200))
+		first, second := fake.permitRequests[0], fake.permitRequests[1]
+		Expect(first.ExcludedEngines).To(Equal([]string{"i-0"}))
+		Expect(first.ExcludedFor).To(ConsistOf(And(BeNumerically(">", 0), BeNumerically("<=", backoff))))
+		Expect(second.ExcludedEngines).To(BeEmpty())
+		Expect(second.RecoveringEngines).To(Equal([]string{"i-0"}))
+	})
+
 	It("limits the number of permit requests", func() {
 		h, fake := start(1, granted("i-9"))
 		resp := h.post("/report/x", "r1")
