--- a/internal/permit/wait.go
+++ b/internal/permit/wait.go
@@ -176,7 +176,7 @@
 }
 
 // refusal returns the verdict for a request that can't be served in time. It is NoEngine if no engine takes requests
-// of its gateway now, however few there are.
+// of its gateway now: the cause is then not the load.
 func (q *Queue) refusal(e *entry, now time.Time) Verdict {
 	if slices.ContainsFunc(q.sortedEngines, func(g *engine) bool { return g.usable(now) && e.restrictions.wait(g.ID, now) == 0 }) {
 		return Refused
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -41,8 +41,8 @@
 	r.sent++
 }
 
-// End records that the wait for the response to a request is over: there was one, or there will be none. The ramp then
-// starts again with one request, unless the request was sent before the pause ended.
+// End records that a request which was sent at sentAt has been answered or will not be answered. The ramp then starts
+// again with one request. Requests that were sent before the ramp began have no effect.
 func (r *Ramp) End(sentAt time.Time) {
 	if !sentAt.Before(r.firstAt) {
 		*r = Ramp{}
