Gateway: log and count how the body of a response is framed and where a stream ended

Callers got streams that were broken off with a regular end, and none of these requests was logged. Whether such a response had a length, chunks or neither, and whether it ended inside an event, could not be told from logs or metrics.

Decisions are unchanged.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -60,13 +60,37 @@
 // Unwrap returns the underlying error.
 func (e *Error) Unwrap() error { return e.Err }
 
+// Framing is how the end of a response body is determined (RFC 9112, section 6.3).
+type Framing string
+
+// The framings of a response body.
+const (
+	FramedByLength Framing = "length" // Content-Length, or no body at all
+	FramedByChunks Framing = "chunks" // Transfer-Encoding: chunked
+	// FramedByClose means that the body ends with the connection. A body that was cut short by an
+	// orderly close is then indistinguishable from a complete one.
+	FramedByClose Framing = "close"
+)
+
+// framing returns how the body of a response is framed.
+func framing(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	case resp.ContentLength >= 0:
+		return FramedByLength
+	}
+	return FramedByClose
+}
+
 // Response is a response whose header has been read. Read returns the body.
 // Close must be called.
 type Response struct {
 	Status int
 	Header http.Header
 	// Length is the length of the body in bytes, -1 if unknown.
-	Length int64
+	Length  int64
+	Framing Framing
 
 	pool          *Pool
 	conn          *conn
@@ -128,7 +152,7 @@
 		}
 		return nil, err
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framing(resp),
 		pool: p, conn: c, raw: resp, detachContext: stop}, nil
 }
 
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -319,6 +319,7 @@
 	resp, err := g.pool.Do(ctx, server.Address, g.outgoingRequest(q, server, choice.FetchFrom, rel))
 	var result sendResult
 	var notices *notice.ResponseNotices
+	meter := &streamMeter{now: g.now, onFirstEvent: onFirstEvent, stats: &stats}
 	if err != nil {
 		stats.NoResponse = true
 		g.notices.EndSend(server.InstanceID(), sentAt)
@@ -332,16 +333,23 @@
 			info.Load.At = g.now()
 			b.RecordLoad(*info.Load)
 		}
-		result, err = g.relayResponse(ctx, q, rel, resp, info, &streamMeter{now: g.now, onFirstEvent: onFirstEvent, stats: &stats})
+		result, err = g.relayResponse(ctx, q, rel, resp, info, meter)
 		g.recordHealth(ctx, b, resp.Status, result)
 	}
 	stats.EngineFailed = ctx.Err() == nil && (result != delivered || resp.Status >= http.StatusInternalServerError)
 	record := sendRecord{Server: server.ID, Reason: choice.Reason, FetchFrom: choice.FetchFrom, Result: sendResultNames[result],
 		Running: choice.Candidate.View.InFlight, PendingPrefillTokens: choice.Candidate.View.UnreadTokens,
-		ExpectedPrefill: choice.ExpectedPrefill, TimeToFirstEvent: stats.TimeToFirstEvent, LongestGap: stats.LongestGap, SentAfter: sentAt.Sub(q.start), Took: g.now().Sub(sentAt), Notices: notices}
+		ExpectedPrefill: choice.ExpectedPrefill, TimeToFirstEvent: stats.TimeToFirstEvent, LongestGap: stats.LongestGap, SentAfter: sentAt.Sub(q.start), Took: g.now().Sub(sentAt), Notices: notices,
+		StreamEnd: meter.end, UnendedBytes: meter.unended}
+	if resp != nil {
+		record.Framing = resp.Framing
+	}
 	if err != nil {
 		record.Cause = err.Error()
 	}
+	if meter.end != "" {
+		telemetry.Count("merlinpost_gateway_stream_ends_total", "service", q.service, "framing", string(record.Framing), "end", string(meter.end))
+	}
 	g.quarantine.RecordRun(g.now().Sub(sentAt), g.now())
 	switch {
 	case connectionBroke(ctx, result, err):
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -136,6 +136,9 @@
 			}
 			wrote = true
 		}
+		if err != nil {
+			meter.recordEnd(err, len(events.remainder()))
+		}
 		if err == io.EOF {
 			return rel.finishStream(resp, events.remainder())
 		}
@@ -157,6 +160,34 @@
 	stats        *permit.StreamStats
 	firstAt      time.Time // arrival of the first event
 	lastAt       time.Time // arrival of the last event
+	end          streamEnd
+	unended      int // bytes that follow the last complete event
+}
+
+// streamEnd is the position in a stream of events at which it ended.
+type streamEnd string
+
+const (
+	streamEndedAfterEvent  streamEnd = "after_event"
+	streamEndedInsideEvent streamEnd = "inside_event"
+	streamEndedEmpty       streamEnd = "empty" // no event that has not been relayed before
+	streamFailed           streamEnd = "error" // the connection broke or the body's framing was violated
+)
+
+// recordEnd records that the stream ended with err, io.EOF if the body is complete, after unended bytes of an
+// incomplete event.
+func (m *streamMeter) recordEnd(err error, unended int) {
+	m.unended = unended
+	switch {
+	case err != io.EOF:
+		m.end = streamFailed
+	case unended > 0:
+		m.end = streamEndedInsideEvent
+	case m.stats.Events == 0:
+		m.end = streamEndedEmpty
+	default:
+		m.end = streamEndedAfterEvent
+	}
 }
 
 // recordEvent records an event that arrives now.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/merlinpost/merlinpost/internal/exchange"
 	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/quarantine"
@@ -83,6 +85,12 @@
 	LongestGap           time.Duration `json:"longest,omitempty"` // longest time between two consecutive events
 	SentAfter            time.Duration `json:"at"`                // time from the request's arrival to this send
 	Took                 time.Duration `json:"took"`              // time until the response was relayed, the send failed or the permit was refused
+	// Framing is how the end of the response body is determined, or empty if there was no response.
+	Framing exchange.Framing `json:"framing,omitempty"`
+	// StreamEnd is where a stream ended, or empty for other responses. UnendedBytes is the number of bytes that
+	// followed its last complete event.
+	StreamEnd    streamEnd `json:"end,omitempty"`
+	UnendedBytes int       `json:"unended,omitempty"`
 	// ServerExited is set if the connection broke because the server process exited.
 	ServerExited bool `json:"ended,omitempty"`
 	// Notices are the notices in the response headers, or nil if there are none.
@@ -101,6 +109,11 @@
 	return &sendRecord{}
 }
 
+// endedInsideEvent reports whether the stream of any send ended inside an event.
+func (q *request) endedInsideEvent() bool {
+	return slices.ContainsFunc(q.sends, func(s sendRecord) bool { return s.StreamEnd == streamEndedInsideEvent })
+}
+
 // retryDenied reports whether the retry budget denied a retry after the last send.
 func (q *request) retryDenied() bool {
 	d := q.lastSend().RetryDecision
