Failing tests: streams that end inside an event reach callers as complete or are not resumed

Stand-in workers can frame a response by a length, chunks or the end of the connection, and cut it after any number of bytes, with an end that looks regular, a close or a reset.

The stand-in ignored the framing for streams: soak runs that were meant to have streams that end with the connection had chunks. They have such streams now.

--- a/e2e/gatewaysoak_faults_test.go
+++ b/e2e/gatewaysoak_faults_test.go
@@ -154,7 +154,7 @@
 	}
 	return []worker.Behaviour{{DropConnection: true}, {Reject: true},
 		{Events: events, ForeignResponseFirst: true, AbortAfterEvents: -1}, {Events: streamEvents, AbortAfterEvents: 3},
-		{Events: events, CloseDelimited: true, AbortAfterEvents: -1}, {Events: events, OmitSeal: true, AbortAfterEvents: -1}}
+		{Events: events, Framing: worker.FramedByClose, AbortAfterEvents: -1}, {Events: events, OmitSeal: true, AbortAfterEvents: -1}}
 }
 
 // serviceOfWorker returns the service of a worker, which is a part of its ID.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -89,7 +89,7 @@
 	})
 
 	It("accepts a response without a length as complete if the connection closes cleanly", func() {
-		server.QueueBehaviours(worker.Behaviour{CloseDelimited: true, AbortAfterEvents: -1})
+		server.QueueBehaviours(worker.Behaviour{Framing: worker.FramedByClose, AbortAfterEvents: -1})
 		body, _, err := do("a", "")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(Equal(worker.ResponseBody("a")))
--- a/internal/gateway/gateway_suite_test.go
+++ b/internal/gateway/gateway_suite_test.go
@@ -88,6 +88,19 @@
 func newHarness(workers int) *harness { return newHarnessWith(ampleRetries, workers) }
 
 func newHarnessWith(retries retrybudget.Settings, workers int) *harness {
+	return buildHarness(func(f func()) { DeferCleanup(f) }, retries, workers)
+}
+
+// harnessForTest returns a harness with the test configuration for a test outside of the suite.
+func harnessForTest(t *testing.T, workers int) *harness {
+	RegisterTestingT(t)
+	h := buildHarness(t.Cleanup, ampleRetries, workers)
+	Expect(h.gateway.SetTable(table(), time.Now())).To(BeTrue())
+	return h
+}
+
+// buildHarness returns a harness that registers its cleanup functions with cleanup.
+func buildHarness(cleanup func(func()), retries retrybudget.Settings, workers int) *harness {
 	h := &harness{servers: registry.New(), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	h.gateway = gateway.New(gateway.Settings{Retries: retries},
 		platform.Dialect{}, h.servers, slog.New(slog.NewJSONHandler(&h.log, nil)))
@@ -95,14 +108,14 @@
 	for i := range workers {
 		w, err := worker.Start(fmt.Sprintf("i-%d", i))
 		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(w.Close)
+		cleanup(w.Close)
 		h.workers = append(h.workers, w)
 		list = append(list, registry.Server{ID: w.ID, Service: "s", Address: w.Address(), Slots: 8})
 	}
 	h.servers.Replace(list, time.Now(), time.Time{})
 	h.server = httptest.NewServer(h.gateway)
-	DeferCleanup(h.server.Close)
-	DeferCleanup(h.client.CloseIdleConnections)
+	cleanup(h.server.Close)
+	cleanup(h.client.CloseIdleConnections)
 	return h
 }
 
--- /dev/null
+++ b/internal/gateway/stream_end_test.go
@@ -0,0 +1,131 @@
+package gateway_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/merlinpost/merlinpost/internal/standin/worker"
+)
+
+const cutStreamEvents = 4
+
+var framings = []worker.Framing{worker.FramedByLength, worker.FramedByChunks, worker.FramedByClose}
+
+// wholeEvents returns the number of complete events in the first n bytes of the stream for id.
+func wholeEvents(id string, n int) int {
+	return strings.Count(worker.StreamBody(id, cutStreamEvents)[:n], "\n\n")
+}
+
+// Guards against ending the caller's stream regularly when the server's stream ends inside an event.
+func TestStreamsCutInsideAnEventAreNotCompleted(t *testing.T) {
+	const id = "a"
+	whole := worker.StreamBody(id, cutStreamEvents)
+	for _, framing := range framings {
+		for cut := 1; cut < len(whole); cut++ {
+			if strings.HasSuffix(whole[:cut], "\n\n") {
+				continue // between two events
+			}
+			t.Run(fmt.Sprint(framing, "/", cut), func(t *testing.T) {
+				h := harnessForTest(t, 2)
+				h.setNextBehaviour(worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: cut}})
+				resp := h.post("/stream/", id)
+				events := wholeEvents(id, cut)
+				if events == 0 {
+					Expect(resp.err).NotTo(HaveOccurred())
+					Expect(resp.status).To(Equal(502))
+				} else {
+					Expect(resp.err).To(HaveOccurred())
+					Expect(resp.body).To(Equal(worker.StreamBody(id, events)))
+				}
+				Expect(h.runs()).To(HaveLen(1))
+			})
+		}
+	}
+}
+
+// Guards against not resuming a stream that ends inside an event.
+func TestStreamsCutInsideAnEventAreResumed(t *testing.T) {
+	whole := worker.StreamBody("a0", cutStreamEvents)
+	for _, framing := range framings {
+		for cut := 1; cut < len(whole); cut++ {
+			if strings.HasSuffix(whole[:cut], "\n\n") {
+				continue // between two events
+			}
+			t.Run(fmt.Sprint(framing, "/", cut), func(t *testing.T) {
+				h := harnessForTest(t, 2)
+				for _, w := range h.workers {
+					w.SetBehaviour(worker.Behaviour{Events: cutStreamEvents, Framing: framing, AbortAfterEvents: -1})
+				}
+				h.workers[0].QueueBehaviours(worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: cut}})
+				id := ""
+				for i := 0; h.workers[0].RequestCount() == 0; i++ {
+					id = "a" + string(rune('0'+i%10))
+					resp := h.post("/resume/", id)
+					Expect(resp.err).NotTo(HaveOccurred())
+					Expect(resp.status).To(Equal(200))
+					Expect(resp.body).To(Equal(worker.StreamBody(id, cutStreamEvents)))
+				}
+				runs := h.workers[1].Executions()
+				Expect(runs[len(runs)-1].ID).To(Equal(id))
+				Expect(runs[len(runs)-1].LastEventID).To(Equal(wholeEvents(id, cut)))
+			})
+		}
+	}
+}
+
+// Guards against breaking off or repeating complete responses.
+func TestCompleteResponsesAreDeliveredOnceInAnyFraming(t *testing.T) {
+	for _, framing := range framings {
+		for _, route := range []string{"/stream/", "/resume/", "/once/", "/again/"} {
+			t.Run(fmt.Sprint(framing, route), func(t *testing.T) {
+				h := harnessForTest(t, 2)
+				want := worker.ResponseBody
+				behaviour := worker.Behaviour{Framing: framing, AbortAfterEvents: -1}
+				if slices.Contains([]string{"/stream/", "/resume/"}, route) {
+					behaviour.Events = cutStreamEvents
+					want = func(id string) string { return worker.StreamBody(id, cutStreamEvents) }
+				}
+				for _, w := range h.workers {
+					w.SetBehaviour(behaviour)
+				}
+				for i := range 20 {
+					id := fmt.Sprint("a", i)
+					resp := h.post(route, id)
+					Expect(resp.err).NotTo(HaveOccurred())
+					Expect(resp.status).To(Equal(200))
+					Expect(resp.body).To(Equal(want(id)))
+				}
+				Expect(h.runs()).To(HaveLen(20))
+			})
+		}
+	}
+}
+
+// Guards against completing a stream whose resumed run breaks off too, and against relaying parts of its events.
+func TestStreamsThatAreCutAgainAfterBeingResumedAreNotCompleted(t *testing.T) {
+	const id = "a"
+	event := len(worker.Event(id, 1))
+	for _, framing := range framings {
+		for first := 1; first < event; first += 3 {
+			for second := 1; second < event; second += 3 {
+				t.Run(fmt.Sprint(framing, "/", first, "/", second), func(t *testing.T) {
+					h := harnessForTest(t, 2)
+					firstRun := worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: event + first}}
+					resumedRun := worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: event + second}}
+					for _, w := range h.workers {
+						w.SetBehaviour(firstRun)
+						w.SetResumedBehaviour(resumedRun)
+					}
+					resp := h.post("/resume/", id)
+					Expect(resp.err).To(HaveOccurred())
+					Expect(resp.body).To(Equal(worker.StreamBody(id, 2)))
+					Expect(h.runs()).To(HaveLen(2))
+				})
+			}
+		}
+	}
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -53,9 +53,10 @@
 	Hang bool
 	// DropConnection closes the connection without a response.
 	DropConnection bool
-	// CloseDelimited sends the response without a length, so that the end of the
-	// connection delimits it.
-	CloseDelimited bool
+	// Framing is how the end of the response body is determined.
+	Framing Framing
+	// Cut breaks off the body of a response, or of a stream instead of AbortAfterEvents; nil means never.
+	Cut *Cut
 	// ForeignResponseFirst sends a response to another request before the correct one.
 	ForeignResponseFirst bool
 	// OmitSeal omits the X-Response-Seal and X-Server-Load headers.
@@ -75,6 +76,7 @@
 
 	mu               sync.Mutex
 	behaviour        Behaviour
+	resumedBehaviour *Behaviour  // for requests with a Last-Event-Id; nil means as for others
 	queuedBehaviours []Behaviour // for the next requests, one each; take precedence over the others
 	partialBehaviour Behaviour   // for partialN of every partialOf requests
 	partialN         int
@@ -142,6 +144,13 @@
 	w.mu.Unlock()
 }
 
+// SetResumedBehaviour sets how the worker handles requests that have a Last-Event-Id from now on.
+func (w *Worker) SetResumedBehaviour(b Behaviour) {
+	w.mu.Lock()
+	w.resumedBehaviour = &b
+	w.mu.Unlock()
+}
+
 // QueueBehaviours sets how the worker handles the next requests, one behaviour
 // per request.
 func (w *Worker) QueueBehaviours(b ...Behaviour) {
@@ -254,10 +263,13 @@
 }
 
 // nextBehaviour records the arrival of a request and returns how to handle it.
-func (w *Worker) nextBehaviour(id string) Behaviour {
+func (w *Worker) nextBehaviour(id string, resumed bool) Behaviour {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.arrivals = append(w.arrivals, Arrival{id, time.Now()})
+	if resumed && w.resumedBehaviour != nil {
+		return *w.resumedBehaviour
+	}
 	if len(w.queuedBehaviours) > 0 {
 		b := w.queuedBehaviours[0]
 		w.queuedBehaviours = w.queuedBehaviours[1:]
@@ -278,7 +290,7 @@
 		}
 		return w.writeResponse(c, id, http.StatusMisdirectedRequest, "X-Instance-Id: "+w.ID+"\r\n", "")
 	}
-	b := w.nextBehaviour(id)
+	b := w.nextBehaviour(id, req.Header.Get("Last-Event-Id") != "")
 	if b.RejectBeforeBody {
 		ok := w.writeResponse(c, id, http.StatusRequestEntityTooLarge, w.sealHeaders(id), "too long")
 		_, err := io.Copy(io.Discard, req.Body)
@@ -324,18 +336,19 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	if b.CloseDelimited {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d OK\r\nX-Attempt-Id: %s\r\n%s%sConnection: close\r\n\r\n%s", status, id, seal, w.headerLines(), ResponseBody(id))
+	response := newBodyWriter(c, b.framing(), len(ResponseBody(id)), b.Cut)
+	if w.writeHeader(c, id, status, seal, response.headers(len(ResponseBody(id)))) != nil {
 		return false
 	}
-	return w.writeResponse(c, id, status, seal, ResponseBody(id))
+	response.write(ResponseBody(id))
+	return response.end()
 }
 
 // crash crashes the worker while it processes a request. If stream is set, it first sends
 // the header of a streamed response.
 func (w *Worker) crash(c net.Conn, id string, trigger crashTrigger, stream bool) bool {
 	if stream {
-		_ = w.writeStreamHeader(c, id) // the connection is closed in any case
+		_ = w.writeHeader(c, id, http.StatusOK, w.streamHeaders(id), "Transfer-Encoding: chunked\r\n") // the connection is closed in any case
 	}
 	time.Sleep(trigger.delay)
 	w.Close()
@@ -366,11 +379,20 @@
 
 // writeResponse writes a response with a Content-Length. It returns false if this fails.
 func (w *Worker) writeResponse(c net.Conn, id string, status int, headers, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\n%s%sContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), id, headers, w.headerLines(), len(body), body)
+	if w.writeHeader(c, id, status, headers, fmt.Sprintf("Content-Length: %d\r\n", len(body))) != nil {
+		return false
+	}
+	_, err := io.WriteString(c, body)
 	return err == nil
 }
 
+// writeHeader writes the status line and the header of a response.
+func (w *Worker) writeHeader(c net.Conn, id string, status int, headers, bodyHeaders string) error {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\n%s%s%s\r\n",
+		status, http.StatusText(status), id, headers, w.headerLines(), bodyHeaders)
+	return err
+}
+
 // awaitDisconnect waits until the caller disconnects and counts it.
 func (w *Worker) awaitDisconnect(r *bufio.Reader) {
 	_, _ = r.Peek(1)
@@ -379,10 +401,9 @@
 	w.mu.Unlock()
 }
 
-func (w *Worker) writeStreamHeader(c net.Conn, id string) error {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		id, w.sealHeaders(id), w.headerLines())
-	return err
+// streamHeaders are the header lines of a streamed response.
+func (w *Worker) streamHeaders(id string) string {
+	return w.sealHeaders(id) + "Content-Type: text/event-stream\r\n"
 }
 
 // writeStream writes a streamed response from the event after lastEventID on. It returns false
@@ -392,18 +413,18 @@
 	if b.EventInterval > 0 {
 		go func() { w.awaitDisconnect(r); close(disconnected) }()
 	}
-	if err := w.writeStreamHeader(c, id); err != nil {
+	events, size := []string{}, 0
+	for n := lastEventID + 1; n <= b.Events; n++ {
+		events = append(events, Event(id, n))
+		size += len(events[len(events)-1])
+	}
+	body := newBodyWriter(c, b.framing(), size, b.streamCut(events, lastEventID+1))
+	if err := w.writeHeader(c, id, http.StatusOK, w.streamHeaders(id), body.headers(size)); err != nil {
 		return false
 	}
-	for n := lastEventID + 1; n <= b.Events; n++ {
-		event := Event(id, n)
-		if b.AbortAfterEvents >= 0 && n > b.AbortAfterEvents {
-			truncated := event[:len(event)/2]
-			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(truncated), truncated)
-			return false
-		}
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
-			return false
+	for _, event := range events {
+		if !body.write(event) {
+			break
 		}
 		if b.EventInterval > 0 {
 			select {
@@ -413,6 +434,5 @@
 			}
 		}
 	}
-	_, err := io.WriteString(c, "0\r\n\r\n")
-	return err == nil && b.EventInterval == 0
+	return body.end() && b.EventInterval == 0
 }
