Gateway: do not complete a stream that ends inside an event

Callers took it as whole; streams that may be resumed were not. The log and the metrics counted it as delivered, the server's health as a success, and the engine model learnt from it.

Cause: the end of a stream was judged by the framing of the HTTP response only. A server may end a body regularly although its stream is incomplete: the end of the connection if there is neither a length nor chunks, or a last chunk or a length that is fulfilled. finishStream forwarded the rest of the last event and ended the caller's stream.

Ruled out: a second send that ends the response (the tests have one send), and a cause in one framing (all three fail alike).

Change: a stream of events ends completely only after a blank line. Otherwise the send counts as broken off, as after a reset: the incomplete event is not forwarded, the stream is resumed after its last complete event if the route allows, and else the caller's connection is closed without the end of the response. Why it holds: nothing of an event is forwarded before its blank line has arrived, so that no other end can look complete. Bodies of another media type, and bodies without one that do not start like an event, are still judged by their framing. Events that end lines with CR are recognized; a CR at the end of a stream with CRLF is half of a line ending.

--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,107 @@
+package eventstream
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// read reads a stream that arrives in the given parts.
+func read(parts ...string) (events []string, unended string) {
+	var r Reader
+	for _, p := range parts {
+		r.Add([]byte(p))
+		for event := r.Next(); event != nil; event = r.Next() {
+			events = append(events, string(event))
+		}
+	}
+	event, rest := r.Unended()
+	if event != nil {
+		events = append(events, string(event))
+	}
+	return events, string(rest)
+}
+
+// Guards against taking the rest of an event for a complete one, and against losing or delaying complete ones.
+func TestEventsAreSplitAtBlankLinesInAnyLineEnding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		ending := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "line ending")
+		lines := rapid.SliceOfN(rapid.SampledFrom([]string{"data: x", "id: 17", ": comment", "data"}), 1, 4)
+		var whole []string
+		for _, event := range rapid.SliceOfN(lines, 1, 5).Draw(t, "events") {
+			whole = append(whole, strings.Join(event, ending)+ending+ending)
+		}
+		stream := strings.Join(whole, "")
+		cut := rapid.IntRange(0, len(stream)).Draw(t, "cut")
+		var parts []string
+		for rest := stream[:cut]; rest != ""; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "part")
+			parts, rest = append(parts, rest[:n]), rest[n:]
+		}
+		complete, end := 0, 0
+		for complete < len(whole) && end+len(whole[complete]) <= cut {
+			end += len(whole[complete])
+			complete++
+		}
+		events, unended := read(parts...)
+		g.Expect(strings.Join(events, "")).To(Equal(stream[:end]))
+		g.Expect(events).To(HaveLen(complete))
+		g.Expect(unended).To(Equal(stream[end:cut]))
+	})
+}
+
+// Guards against holding back an event until the next one arrives.
+func TestEventsAreReturnedAsSoonAsTheyAreComplete(t *testing.T) {
+	for _, ending := range []string{"\n", "\r\n", "\r"} {
+		g := NewWithT(t)
+		event := "id: 1" + ending + "data: x" + ending + ending
+		var r Reader
+		for range 3 {
+			r.Add([]byte(event))
+			g.Expect(string(r.Next())).To(Equal(event))
+		}
+	}
+}
+
+func TestID(t *testing.T) {
+	for event, want := range map[string]int64{"id: 12\ndata: x\n\n": 12, "data: id: 3\nid:7\r\n\r\n": 7, "data: x\rid: 5\r\r": 5} {
+		id, ok := ID([]byte(event))
+		NewWithT(t).Expect(id).To(Equal(want))
+		NewWithT(t).Expect(ok).To(BeTrue())
+	}
+	for _, event := range []string{"", "data: x\n\n", "id: a1\n\n", ": id: 4\n\n"} {
+		_, ok := ID([]byte(event))
+		NewWithT(t).Expect(ok).To(BeFalse(), event)
+	}
+}
+
+// Guards against taking other bodies for streams of events, which would make them look incomplete.
+func TestIsEvents(t *testing.T) {
+	eventStream := http.Header{"Content-Type": {"Text/Event-Stream; charset=utf-8"}}
+	for _, c := range []struct {
+		header http.Header
+		body   string
+		want   bool
+	}{
+		{eventStream, "", true},
+		{eventStream, "answer", true},
+		{http.Header{"Content-Type": {MediaType}, "Content-Encoding": {"gzip"}}, "data: x", false},
+		{http.Header{"Content-Type": {"application/json"}}, "data: x", false},
+		{http.Header{}, "", true},
+		{http.Header{}, "da", true},
+		{http.Header{}, "id: 1\ndata: x\n\n", true},
+		{http.Header{}, "data\n", false},
+		{http.Header{}, "answer to a", false},
+		{http.Header{}, "{\"id\": 1}", false},
+	} {
+		var r Reader
+		for i := range c.body {
+			r.Add([]byte{c.body[i]})
+		}
+		NewWithT(t).Expect(r.IsEvents(c.header)).To(Equal(c.want), "%v %q", c.header, c.body)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -75,6 +75,8 @@
 // framing returns how the body of a response is framed.
 func framing(resp *http.Response) Framing {
 	switch {
+	case resp.Body == http.NoBody:
+		return FramedByLength
 	case len(resp.TransferEncoding) > 0:
 		return FramedByChunks
 	case resp.ContentLength >= 0:
@@ -100,7 +102,7 @@
 }
 
 // Read implements io.Reader for the body. It returns io.EOF only if the body is
-// complete.
+// complete, or if it is FramedByClose and the server closed the connection.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.raw.Body.Read(p)
 	if err == io.EOF {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,7 +10,6 @@
 
 	"github.com/merlinpost/merlinpost/internal/exchange"
 	"github.com/merlinpost/merlinpost/internal/fault"
-	"github.com/merlinpost/merlinpost/internal/permit"
 	"github.com/merlinpost/merlinpost/internal/routing"
 )
 
@@ -25,17 +24,6 @@
 	hasID            bool
 }
 
-// canResume reports whether another server can resume the stream after the last relayed event.
-func (r *relay) canResume() bool { return r.hasID || r.events == 0 }
-
-// lastEventID returns the ID of the last relayed event, or an empty string if there is none.
-func (r *relay) lastEventID() string {
-	if !r.hasID {
-		return ""
-	}
-	return strconv.FormatInt(r.lastID, 10)
-}
-
 // maxBufferedBodyBytes limits the size of a response body, which is buffered before it is
 // relayed unless it is a stream. It is far larger than the responses of the services and a
 // small fraction of a host's memory.
@@ -110,137 +98,6 @@
 	}
 }
 
-// relayStream relays a stream of server-sent events, each event as soon as it is complete.
-func (g *Gateway) relayStream(ctx context.Context, q *request, rel *relay, resp *exchange.Response, meter *streamMeter) (sendResult, error) {
-	flusher := http.NewResponseController(rel.w)
-	var events eventReader
-	buf := make([]byte, 4<<10)
-	for {
-		n, err := resp.Read(buf)
-		events.add(buf[:n])
-		wrote := false
-		for event := events.next(); event != nil; event = events.next() {
-			if !rel.recordIfNew(event) {
-				continue
-			}
-			if rel.timeToFirstEvent == 0 {
-				rel.timeToFirstEvent = g.now().Sub(q.start)
-			}
-			meter.recordEvent()
-			if !rel.started {
-				rel.startResponse(resp)
-				rel.w.WriteHeader(resp.Status)
-			}
-			if _, werr := rel.w.Write(event); werr != nil {
-				return truncated, fault.New(fault.Cancelled, "the caller has left: %w", werr)
-			}
-			wrote = true
-		}
-		if err != nil {
-			meter.recordEnd(err, len(events.remainder()))
-		}
-		if err == io.EOF {
-			return rel.finishStream(resp, events.remainder())
-		}
-		if wrote {
-			if ferr := flusher.Flush(); ferr != nil {
-				return truncated, fault.New(fault.Cancelled, "the caller has left: %w", ferr)
-			}
-		}
-		if err != nil {
-			return rel.streamError(ctx, err)
-		}
-	}
-}
-
-// streamMeter collects the event statistics of the stream of one send.
-type streamMeter struct {
-	now          func() time.Time
-	onFirstEvent func() // called when the first event arrives
-	stats        *permit.StreamStats
-	firstAt      time.Time // arrival of the first event
-	lastAt       time.Time // arrival of the last event
-	end          streamEnd
-	unended      int // bytes that follow the last complete event
-}
-
-// streamEnd is the position in a stream of events at which it ended.
-type streamEnd string
-
-const (
-	streamEndedAfterEvent  streamEnd = "after_event"
-	streamEndedInsideEvent streamEnd = "inside_event"
-	streamEndedEmpty       streamEnd = "empty" // no event that has not been relayed before
-	streamFailed           streamEnd = "error" // the connection broke or the body's framing was violated
-)
-
-// recordEnd records that the stream ended with err, io.EOF if the body is complete, after unended bytes of an
-// incomplete event.
-func (m *streamMeter) recordEnd(err error, unended int) {
-	m.unended = unended
-	switch {
-	case err != io.EOF:
-		m.end = streamFailed
-	case unended > 0:
-		m.end = streamEndedInsideEvent
-	case m.stats.Events == 0:
-		m.end = streamEndedEmpty
-	default:
-		m.end = streamEndedAfterEvent
-	}
-}
-
-// recordEvent records an event that arrives now.
-func (m *streamMeter) recordEvent() {
-	now := m.now()
-	if m.stats.Events == 0 {
-		m.firstAt = now
-		m.onFirstEvent()
-	} else {
-		m.stats.LongestGap = max(m.stats.LongestGap, now.Sub(m.lastAt))
-	}
-	m.stats.Events++
-	m.lastAt = now
-	m.stats.Duration = now.Sub(m.firstAt)
-}
-
-// recordIfNew records an event that is to be relayed, and reports whether it is new. A server may send events
-// again when it resumes a stream; those have already been relayed.
-func (r *relay) recordIfNew(event []byte) bool {
-	if id, ok := eventID(event); ok {
-		if r.hasID && id <= r.lastID {
-			return false
-		}
-		r.lastID, r.hasID = id, true
-	}
-	r.events++
-	return true
-}
-
-// finishStream relays the data that follows the last complete event and ends the stream.
-func (r *relay) finishStream(resp *exchange.Response, remainder []byte) (sendResult, error) {
-	if !r.started {
-		r.startResponse(resp)
-		r.w.WriteHeader(resp.Status)
-	}
-	if len(remainder) > 0 {
-		_, _ = r.w.Write(remainder) // fails only if the caller has disconnected
-	}
-	return delivered, nil
-}
-
-// streamError classifies the failure of a stream that ended early.
-func (r *relay) streamError(ctx context.Context, err error) (sendResult, error) {
-	result, outcome := mayHaveRun, fault.Unknown
-	if r.started {
-		result, outcome = truncated, fault.Partial
-	}
-	if ctx.Err() != nil {
-		return result, contextError(ctx, true)
-	}
-	return result, fault.New(fault.IncompleteResponse, "the stream broke off after %d events: %w", r.events, err).WithOutcome(outcome)
-}
-
 // hopByHopHeaders are the headers that are not forwarded because they apply to a single connection, or because
 // the gateway handles them itself.
 var hopByHopHeaders = map[string]bool{
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/merlinpost/merlinpost/internal/eventstream"
+	"github.com/merlinpost/merlinpost/internal/exchange"
+	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/permit"
+)
+
+// relayStream relays a stream of server-sent events, each event as soon as it is complete.
+func (g *Gateway) relayStream(ctx context.Context, q *request, rel *relay, resp *exchange.Response, meter *streamMeter) (sendResult, error) {
+	var events eventstream.Reader
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := resp.Read(buf)
+		events.Add(buf[:n])
+		var complete [][]byte
+		for event := events.Next(); event != nil; event = events.Next() {
+			complete = append(complete, event)
+		}
+		var unended []byte
+		if err != nil {
+			var last []byte
+			if last, unended = events.Unended(); last != nil {
+				complete = append(complete, last)
+			}
+		}
+		if werr := g.relayEvents(q, rel, resp, meter, complete); werr != nil {
+			return truncated, fault.New(fault.Cancelled, "the caller has left: %w", werr)
+		}
+		if err == nil {
+			continue
+		}
+		meter.recordEnd(err, len(unended))
+		if err == io.EOF {
+			err = checkStreamEnd(meter, rel.hasID || events.IsEvents(resp.Header))
+		}
+		if err != nil {
+			return rel.streamError(ctx, err)
+		}
+		rel.finishStream(resp, unended)
+		return delivered, nil
+	}
+}
+
+// relayEvents relays those of the events that are new. An error means that the caller has disconnected.
+func (g *Gateway) relayEvents(q *request, rel *relay, resp *exchange.Response, meter *streamMeter, events [][]byte) error {
+	wrote := false
+	for _, event := range events {
+		if !rel.recordIfNew(event) {
+			continue
+		}
+		if rel.timeToFirstEvent == 0 {
+			rel.timeToFirstEvent = g.now().Sub(q.start)
+		}
+		meter.recordEvent()
+		if !rel.started {
+			rel.startResponse(resp)
+			rel.w.WriteHeader(resp.Status)
+		}
+		if _, err := rel.w.Write(event); err != nil {
+			return err
+		}
+		wrote = true
+	}
+	if !wrote {
+		return nil
+	}
+	return http.NewResponseController(rel.w).Flush()
+}
+
+// errEndedInsideEvent is returned for a stream whose body ended regularly although its last event is incomplete.
+var errEndedInsideEvent = errors.New("the response ended inside an event")
+
+// checkStreamEnd returns an error if a stream whose body ended regularly is incomplete. If it is not a stream of
+// events, its framing alone determines whether it is complete.
+func checkStreamEnd(meter *streamMeter, isEvents bool) error {
+	if isEvents && meter.end == streamEndedInsideEvent {
+		return errEndedInsideEvent
+	}
+	return nil
+}
+
+// finishStream ends a complete stream. rest is the data that follows the last event if the body is not a stream of
+// events.
+func (r *relay) finishStream(resp *exchange.Response, rest []byte) {
+	if !r.started {
+		r.startResponse(resp)
+		r.w.WriteHeader(resp.Status)
+	}
+	if len(rest) > 0 {
+		_, _ = r.w.Write(rest) // fails only if the caller has disconnected
+	}
+}
+
+// streamError classifies the failure of a stream that ended early.
+func (r *relay) streamError(ctx context.Context, err error) (sendResult, error) {
+	result, outcome := mayHaveRun, fault.Unknown
+	if r.started {
+		result, outcome = truncated, fault.Partial
+	}
+	if ctx.Err() != nil {
+		return result, contextError(ctx, true)
+	}
+	return result, fault.New(fault.IncompleteResponse, "the stream broke off after %d events: %w", r.events, err).WithOutcome(outcome)
+}
+
+// recordIfNew records an event that is to be relayed, and reports whether it is new. A server may send events
+// again when it resumes a stream; those have already been relayed.
+func (r *relay) recordIfNew(event []byte) bool {
+	if id, ok := eventstream.ID(event); ok {
+		if r.hasID && id <= r.lastID {
+			return false
+		}
+		r.lastID, r.hasID = id, true
+	}
+	r.events++
+	return true
+}
+
+// canResume reports whether another server can resume the stream after the last relayed event.
+func (r *relay) canResume() bool { return r.hasID || r.events == 0 }
+
+// lastEventID returns the ID of the last relayed event, or an empty string if there is none.
+func (r *relay) lastEventID() string {
+	if !r.hasID {
+		return ""
+	}
+	return strconv.FormatInt(r.lastID, 10)
+}
+
+// streamMeter collects the event statistics of the stream of one send.
+type streamMeter struct {
+	now          func() time.Time
+	onFirstEvent func() // called when the first event arrives
+	stats        *permit.StreamStats
+	firstAt      time.Time // arrival of the first event
+	lastAt       time.Time // arrival of the last event
+	end          streamEnd
+	unended      int // bytes that follow the last complete event
+}
+
+// streamEnd is the position in a stream of events at which it ended.
+type streamEnd string
+
+const (
+	streamEndedAfterEvent  streamEnd = "after_event"
+	streamEndedInsideEvent streamEnd = "inside_event"
+	streamEndedEmpty       streamEnd = "empty" // no event that has not been relayed before
+	streamFailed           streamEnd = "error" // the connection broke or the body's framing was violated
+)
+
+// recordEvent records an event that arrives now.
+func (m *streamMeter) recordEvent() {
+	now := m.now()
+	if m.stats.Events == 0 {
+		m.firstAt = now
+		m.onFirstEvent()
+	} else {
+		m.stats.LongestGap = max(m.stats.LongestGap, now.Sub(m.lastAt))
+	}
+	m.stats.Events++
+	m.lastAt = now
+	m.stats.Duration = now.Sub(m.firstAt)
+}
+
+// recordEnd records that the stream ended with err, io.EOF if the body is complete, after unended bytes of an
+// incomplete event.
+func (m *streamMeter) recordEnd(err error, unended int) {
+	m.unended = unended
+	switch {
+	case err != io.EOF:
+		m.end = streamFailed
+	case unended > 0:
+		m.end = streamEndedInsideEvent
+	case m.stats.Events == 0:
+		m.end = streamEndedEmpty
+	default:
+		m.end = streamEndedAfterEvent
+	}
+}
