Gateway: do not complete a stream without events, or one that lacks an event already begun

What callers saw (by tests; not seen in the incident): a server that broke off after its headers, with a body that ended regularly, gave its caller an empty answer as complete. A stream resumed after an event that was cut could end without that event.

Cause: the same as of streams that end inside an event: only the framing was judged.

Change: a stream of events without any event is incomplete, unless it was resumed, by the caller or by the gateway; then there may be nothing left. It is also incomplete if the previous run had begun an event that the resumed run does not deliver.

TestStreamsWithoutEventsAreNotCompleted (each framing) and TestResumedStreamsMustContinueTheEventThatWasCut failed before. TestStreamsThatAreResumedAfterTheirLastEventAreComplete passes before and after.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -31,7 +31,7 @@
 		mediaType, _, _ := mime.ParseMediaType(contentType) // an invalid type is not that of event streams
 		return mediaType == MediaType
 	}
-	return slices.ContainsFunc(fieldPrefixes, func(prefix string) bool {
+	return len(r.start) > 0 && slices.ContainsFunc(fieldPrefixes, func(prefix string) bool {
 		n := min(len(r.start), len(prefix))
 		return string(r.start[:n]) == prefix[:n]
 	})
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -91,7 +91,7 @@
 		{eventStream, "answer", true},
 		{http.Header{"Content-Type": {MediaType}, "Content-Encoding": {"gzip"}}, "data: x", false},
 		{http.Header{"Content-Type": {"application/json"}}, "data: x", false},
-		{http.Header{}, "", true},
+		{http.Header{}, "", false},
 		{http.Header{}, "da", true},
 		{http.Header{}, "id: 1\ndata: x\n\n", true},
 		{http.Header{}, "data\n", false},
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,6 +22,7 @@
 	timeToFirstEvent time.Duration // time from the request's start to its first event, 0 before that
 	lastID           int64
 	hasID            bool
+	eventBegun       bool // the last send ended inside the event that follows the last relayed one
 }
 
 // maxBufferedBodyBytes limits the size of a response body, which is buffered before it is
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -40,8 +40,9 @@
 		}
 		meter.recordEnd(err, len(unended))
 		if err == io.EOF {
-			err = checkStreamEnd(meter, rel.hasID || events.IsEvents(resp.Header))
+			err = checkStreamEnd(q, rel, meter, rel.hasID || events.IsEvents(resp.Header))
 		}
+		rel.eventBegun = len(unended) > 0
 		if err != nil {
 			return rel.streamError(ctx, err)
 		}
@@ -76,14 +77,27 @@
 	return http.NewResponseController(rel.w).Flush()
 }
 
-// errEndedInsideEvent is returned for a stream whose body ended regularly although its last event is incomplete.
-var errEndedInsideEvent = errors.New("the response ended inside an event")
+// Reasons why a stream is incomplete although its body ended regularly.
+var (
+	errEndedInsideEvent = errors.New("the response ended inside an event")
+	errEndedEmpty       = errors.New("the response has no event")
+	errNotContinued     = errors.New("the resumed stream does not continue the event that the previous one had begun")
+)
 
 // checkStreamEnd returns an error if a stream whose body ended regularly is incomplete. If it is not a stream of
 // events, its framing alone determines whether it is complete.
-func checkStreamEnd(meter *streamMeter, isEvents bool) error {
-	if isEvents && meter.end == streamEndedInsideEvent {
+func checkStreamEnd(q *request, rel *relay, meter *streamMeter, isEvents bool) error {
+	if !isEvents {
+		return nil
+	}
+	empty := meter.end == streamEndedEmpty
+	switch {
+	case meter.end == streamEndedInsideEvent:
 		return errEndedInsideEvent
+	case empty && rel.eventBegun:
+		return errNotContinued
+	case empty && !rel.hasID && q.info.LastEventID == "" && q.method != http.MethodHead:
+		return errEndedEmpty
 	}
 	return nil
 }
--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -129,3 +131,62 @@
 		}
 	}
 }
+
+// Guards against delivering a stream without any event as complete.
+func TestStreamsWithoutEventsAreNotCompleted(t *testing.T) {
+	for _, framing := range framings {
+		t.Run(string(framing), func(t *testing.T) {
+			empty := worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: 0}}
+			h := harnessForTest(t, 2)
+			h.setNextBehaviour(empty)
+			Expect(h.post("/stream/", "a").status).To(Equal(502))
+			Expect(h.runs()).To(HaveLen(1))
+
+			h = harnessForTest(t, 2)
+			for _, w := range h.workers {
+				w.SetBehaviour(worker.Behaviour{Events: cutStreamEvents, Framing: framing, AbortAfterEvents: -1})
+			}
+			h.workers[0].QueueBehaviours(empty)
+			for i := 0; h.workers[0].RequestCount() == 0; i++ {
+				id := fmt.Sprint("a", i)
+				resp := h.post("/resume/", id)
+				Expect(resp.err).NotTo(HaveOccurred())
+				Expect(resp.body).To(Equal(worker.StreamBody(id, cutStreamEvents)))
+			}
+		})
+	}
+}
+
+// Guards against repeating or breaking off a stream that a caller resumes after its last event.
+func TestStreamsThatAreResumedAfterTheirLastEventAreComplete(t *testing.T) {
+	for _, framing := range framings {
+		h := harnessForTest(t, 2)
+		for _, w := range h.workers {
+			w.SetBehaviour(worker.Behaviour{Events: cutStreamEvents, Framing: framing, AbortAfterEvents: -1})
+		}
+		req := h.request(context.Background(), "/resume/", "a", "")
+		req.Header.Set("Last-Event-Id", strconv.Itoa(cutStreamEvents))
+		resp := h.send(req)
+		Expect(resp.err).NotTo(HaveOccurred())
+		Expect(resp.status).To(Equal(200))
+		Expect(resp.body).To(BeEmpty())
+		Expect(h.runs()).To(HaveLen(1))
+	}
+}
+
+// Guards against completing a stream whose resumed run lacks the event that the first run had begun.
+func TestResumedStreamsMustContinueTheEventThatWasCut(t *testing.T) {
+	const id = "a"
+	inSecondEvent := len(worker.Event(id, 1)) + 3
+	for _, framing := range framings {
+		h := harnessForTest(t, 2)
+		for _, w := range h.workers {
+			w.SetBehaviour(worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: inSecondEvent}})
+			w.SetResumedBehaviour(worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: 0}})
+		}
+		resp := h.post("/resume/", id)
+		Expect(resp.err).To(HaveOccurred())
+		Expect(resp.body).To(Equal(worker.StreamBody(id, 1)))
+		Expect(h.runs()).To(HaveLen(2))
+	}
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -127,6 +127,9 @@
 	w.CloseConnections()
 }
 
+// CloseListener makes the worker refuse connections. Open connections are not affected.
+func (w *Worker) CloseListener() { _ = w.listener.Close() }
+
 // CloseConnections closes the open connections.
 func (w *Worker) CloseConnections() {
 	w.mu.Lock()
