Gateway: do not complete a stream whose server exits between two events

A server writes each event at once, so that a kill mostly falls between two events; nothing in the stream tells it then.

What else a gateway can know is whether the process still runs: it asks as it does when a connection breaks. All events have been forwarded by then; only the end of the caller's response waits for the answer. A server that is draining or no longer listed exits as planned, and its last streams are complete. A check that was started before the stream ended does not count, unless it found that the server has exited.

Streams with a length or chunks are not asked about.

TestStreamsWhoseServerExitsBetweenEventsAreNotCompleted failed before for both routes; TestLastStreamsOfADrainingServerAreComplete passes before and after.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -333,7 +333,7 @@
 			info.Load.At = g.now()
 			b.RecordLoad(*info.Load)
 		}
-		result, err = g.relayResponse(ctx, q, rel, resp, info, meter)
+		result, err = g.relayResponse(ctx, q, server, rel, resp, info, meter)
 		g.recordHealth(ctx, b, resp.Status, result)
 	}
 	stats.EngineFailed = ctx.Err() == nil && (result != delivered || resp.Status >= http.StatusInternalServerError)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/merlinpost/merlinpost/internal/exchange"
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/routing"
 )
 
@@ -32,7 +33,7 @@
 
 // relayResponse reads the server's response and relays it to the caller. Refusals, and failures that are to be
 // retried or reported as errors, are not relayed.
-func (g *Gateway) relayResponse(ctx context.Context, q *request, rel *relay, resp *exchange.Response, info ResponseInfo, meter *streamMeter) (sendResult, error) {
+func (g *Gateway) relayResponse(ctx context.Context, q *request, server registry.Server, rel *relay, resp *exchange.Response, info ResponseInfo, meter *streamMeter) (sendResult, error) {
 	if info.NotRun || resp.Status == http.StatusMisdirectedRequest {
 		return refusalError(resp)
 	}
@@ -40,7 +41,7 @@
 		return mayHaveRun, fault.New(fault.EngineFailed, "the response has no seal").WithOutcome(fault.Unknown)
 	}
 	if q.route.Kind == routing.Streaming && resp.Status/100 == 2 {
-		return g.relayStream(ctx, q, rel, resp, meter)
+		return g.relayStream(ctx, q, server, rel, resp, meter)
 	}
 	if rel.started {
 		return truncated, fault.New(fault.EngineFailed, "the server answered %d to a resumed stream", resp.Status).WithOutcome(fault.Partial)
--- a/internal/gateway/server_exits.go
+++ b/internal/gateway/server_exits.go
@@ -46,7 +46,7 @@
 	if g.notices.Draining(server.InstanceID()) {
 		return false // a planned shutdown
 	}
-	check := g.checkExit(server)
+	check := g.checkExit(server, crash.At.Add(-exitCheckTTL))
 	<-check.done
 	if check.exited {
 		g.recordExit(interruptedRun{q.quarantineID(), crash})
@@ -146,12 +146,24 @@
 // same server. When a process exits, all its connections break within a few milliseconds.
 const exitCheckTTL = 200 * time.Millisecond
 
-// checkExit returns the current check of a server. It starts a new one if there is none.
-func (g *Gateway) checkExit(server registry.Server) *exitCheck {
+// foundExit reports whether the check has been completed and the server has exited.
+func (c *exitCheck) foundExit() bool {
+	select {
+	case <-c.done:
+		return c.exited
+	default:
+		return false
+	}
+}
+
+// checkExit returns the current check of a server if it was started at notBefore or later or has found that the
+// server has exited. Otherwise it starts a new one.
+func (g *Gateway) checkExit(server registry.Server, notBefore time.Time) *exitCheck {
 	g.exits.mu.Lock()
 	defer g.exits.mu.Unlock()
 	now, instance := g.now(), server.InstanceID()
-	if c := g.exits.exitChecks[instance]; c != nil && now.Sub(c.startedAt) < exitCheckTTL {
+	if c := g.exits.exitChecks[instance]; c != nil && now.Sub(c.startedAt) < exitCheckTTL &&
+		(!c.startedAt.Before(notBefore) || c.foundExit()) {
 		return c
 	}
 	for other, c := range g.exits.exitChecks {
@@ -165,6 +177,18 @@
 	return c
 }
 
+// exitedUnexpectedly reports whether a server that closed a connection at the given time has exited other than by a
+// planned shutdown.
+func (g *Gateway) exitedUnexpectedly(server registry.Server, closedAt time.Time) bool {
+	listed, ok := g.servers.FindInstance(server.InstanceID())
+	if !ok || listed.Draining || g.notices.Draining(server.InstanceID()) {
+		return false
+	}
+	check := g.checkExit(server, closedAt)
+	<-check.done
+	return check.exited
+}
+
 // runExitCheck completes a check. A server has exited if its address refuses connections.
 func (g *Gateway) runExitCheck(server registry.Server, c *exitCheck) {
 	defer close(c.done)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,10 +12,11 @@
 	"github.com/merlinpost/merlinpost/internal/exchange"
 	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/permit"
+	"github.com/merlinpost/merlinpost/internal/registry"
 )
 
 // relayStream relays a stream of server-sent events, each event as soon as it is complete.
-func (g *Gateway) relayStream(ctx context.Context, q *request, rel *relay, resp *exchange.Response, meter *streamMeter) (sendResult, error) {
+func (g *Gateway) relayStream(ctx context.Context, q *request, server registry.Server, rel *relay, resp *exchange.Response, meter *streamMeter) (sendResult, error) {
 	var events eventstream.Reader
 	buf := make([]byte, 4<<10)
 	for {
@@ -40,7 +41,7 @@
 		}
 		meter.recordEnd(err, len(unended))
 		if err == io.EOF {
-			err = checkStreamEnd(q, rel, meter, rel.hasID || events.IsEvents(resp.Header))
+			err = g.checkStreamEnd(q, server, rel, resp, meter, rel.hasID || events.IsEvents(resp.Header))
 		}
 		rel.eventBegun = len(unended) > 0
 		if err != nil {
@@ -82,11 +83,12 @@
 	errEndedInsideEvent = errors.New("the response ended inside an event")
 	errEndedEmpty       = errors.New("the response has no event")
 	errNotContinued     = errors.New("the resumed stream does not continue the event that the previous one had begun")
+	errServerExited     = errors.New("the server exited when it closed the connection")
 )
 
 // checkStreamEnd returns an error if a stream whose body ended regularly is incomplete. If it is not a stream of
 // events, its framing alone determines whether it is complete.
-func checkStreamEnd(q *request, rel *relay, meter *streamMeter, isEvents bool) error {
+func (g *Gateway) checkStreamEnd(q *request, server registry.Server, rel *relay, resp *exchange.Response, meter *streamMeter, isEvents bool) error {
 	if !isEvents {
 		return nil
 	}
@@ -98,6 +100,8 @@
 		return errNotContinued
 	case empty && !rel.hasID && q.info.LastEventID == "" && q.method != http.MethodHead:
 		return errEndedEmpty
+	case resp.Framing == exchange.FramedByClose && g.exitedUnexpectedly(server, g.now()):
+		return errServerExited
 	}
 	return nil
 }
--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/standin/worker"
 )
 
@@ -190,3 +193,63 @@
 		Expect(h.runs()).To(HaveLen(2))
 	}
 }
+
+// Guards against completing a stream whose server exits between two events, if only the end of the connection
+// delimits the stream.
+func TestStreamsWhoseServerExitsBetweenEventsAreNotCompleted(t *testing.T) {
+	const id, whole = "a", 3
+	for _, route := range []string{"/stream/", "/resume/"} {
+		t.Run(route, func(t *testing.T) {
+			h := harnessForTest(t, 2)
+			for _, w := range h.workers {
+				w.SetBehaviour(worker.Behaviour{Events: 100, Framing: worker.FramedByClose, AbortAfterEvents: -1, EventInterval: 20 * time.Millisecond})
+				w.SetResumedBehaviour(worker.Behaviour{Events: whole + 2, Framing: worker.FramedByClose, AbortAfterEvents: -1})
+			}
+			resp, err := h.client.Do(h.request(context.Background(), route, id, ""))
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
+			received := make([]byte, len(worker.StreamBody(id, whole)))
+			_, err = io.ReadFull(resp.Body, received)
+			Expect(err).NotTo(HaveOccurred())
+			for _, w := range h.workers {
+				if len(w.Executions()) > 0 {
+					w.Close()
+				}
+			}
+			rest, err := io.ReadAll(resp.Body)
+			received = append(received, rest...)
+			if route == "/stream/" {
+				Expect(err).To(HaveOccurred())
+				Expect(h.runs()).To(HaveLen(1))
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(received)).To(Equal(worker.StreamBody(id, whole+2)))
+			Expect(h.runs()).To(HaveLen(2))
+		})
+	}
+}
+
+// Guards against breaking off the last streams of a server that exits after a planned shutdown.
+func TestLastStreamsOfADrainingServerAreComplete(t *testing.T) {
+	const id = "a"
+	for _, listed := range []bool{true, false} {
+		h := harnessForTest(t, 1)
+		w := h.workers[0]
+		w.SetBehaviour(worker.Behaviour{Events: 5, Framing: worker.FramedByClose, AbortAfterEvents: -1, EventInterval: 20 * time.Millisecond})
+		resp, err := h.client.Do(h.request(context.Background(), "/stream/", id, ""))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadFull(resp.Body, make([]byte, len(worker.Event(id, 1))))
+		Expect(err).NotTo(HaveOccurred())
+		var list []registry.Server
+		if listed {
+			list = []registry.Server{{ID: w.ID, Service: "s", Address: w.Address(), Slots: 8, Draining: true}}
+		}
+		h.servers.Replace(list, time.Now(), time.Time{})
+		w.CloseListener()
+		rest, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(worker.Event(id, 1) + string(rest)).To(Equal(worker.StreamBody(id, 5)))
+		_ = resp.Body.Close()
+	}
+}
