Reset unfinished responses to callers of HTTP/1.0, and abort failed streams of routers

What callers saw (by tests; not seen in the incident): HTTP/1.0 has no chunks, so that a stream that was broken off, by the gateway or with it, ended with an orderly close, which is how a complete one ends. A router ended a stream that had failed with an error event and then regularly: a caller that reads to the end of the response, without looking for the error event or [DONE], took it as complete.

Change: the connection of a response to an HTTP/1.0 caller is reset, whatever closes it, until the response is complete (SO_LINGER, internal/responseguard; gateways and routers). A router closes the connection after the error event, without the last chunk.

--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -17,6 +17,7 @@
 	"github.com/merlinpost/merlinpost/internal/configlog"
 	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/resource"
+	"github.com/merlinpost/merlinpost/internal/responseguard"
 	"github.com/merlinpost/merlinpost/internal/router"
 	"github.com/merlinpost/merlinpost/internal/settings"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
@@ -102,6 +103,7 @@
 // serve authenticates the caller, runs the handler and writes its error, if any.
 func (a *API) serve(h func(*exchange) *fault.Error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		complete := responseguard.Begin(r)
 		x := &exchange{api: a, w: w, r: r, id: configlog.NewID(), startTime: time.Now(), view: a.view()}
 		w.Header().Set(HeaderRequestID, x.id)
 		e := x.authenticate()
@@ -112,6 +114,11 @@
 			x.writeError(e)
 		}
 		x.recordMetrics(e)
+		if e != nil && x.streamStarted {
+			// The status has been sent, so closing the connection is the only way to end the response as incomplete.
+			panic(http.ErrAbortHandler)
+		}
+		complete()
 	}
 }
 
--- a/internal/callerapi/api_test.go
+++ b/internal/callerapi/api_test.go
@@ -69,8 +69,18 @@
 	return f.View()
 }
 
-// serve sends one request to the API.
+// serve sends one request to the API, which must complete its response.
 func serve(t *testing.T, b *fakeBackend, path, body string, header map[string]string) *httptest.ResponseRecorder {
+	t.Helper()
+	w, aborted := serveAny(t, b, path, body, header)
+	if aborted {
+		t.Error("the response was aborted")
+	}
+	return w
+}
+
+// serveAny sends one request to the API and reports whether the response was aborted.
+func serveAny(t *testing.T, b *fakeBackend, path, body string, header map[string]string) (w *httptest.ResponseRecorder, aborted bool) {
 	set := settings.DefaultRouter().Callers
 	set.MaxBodyBytes = 2048
 	v := testView(t)
@@ -80,9 +90,16 @@
 	for k, val := range header {
 		req.Header.Set(k, val)
 	}
-	w := httptest.NewRecorder()
+	w = httptest.NewRecorder()
+	defer func() {
+		if value := recover(); value == http.ErrAbortHandler {
+			aborted = true
+		} else if value != nil {
+			panic(value)
+		}
+	}()
 	api.Handler().ServeHTTP(w, req)
-	return w
+	return w, false
 }
 
 const validChatBody = `{"model":"m","messages":[{"role":"user","content":"x"}]}`
@@ -142,12 +159,14 @@
 	g.Expect(w.Header().Get("Retry-After")).To(BeEmpty(), "no Retry-After if the request may have run")
 }
 
-func TestFailedStreamHasNoDoneEvent(t *testing.T) {
+// Guards against a response that ends regularly after its stream has failed.
+func TestFailedStreamEndsWithAnErrorEventAndIsAborted(t *testing.T) {
 	g := NewWithT(t)
 	b := &fakeBackend{chunks: []string{"a", "b"}, err: fault.New(fault.EngineFailed, "gone").WithOutcome(fault.Partial)}
-	w := serve(t, b, "/v1/chat/completions", `{"model":"m","stream":true,"messages":[]}`, nil)
+	w, aborted := serveAny(t, b, "/v1/chat/completions", `{"model":"m","stream":true,"messages":[]}`, nil)
 	g.Expect(w.Body.String()).To(ContainSubstring(`"outcome":"partial"`))
 	g.Expect(w.Body.String()).NotTo(ContainSubstring("[DONE]"))
+	g.Expect(aborted).To(BeTrue())
 }
 
 func TestRequestHasClassAndTokenLimit(t *testing.T) {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"maps"
 	"net"
 	"net/http"
@@ -122,6 +123,15 @@
 	return n, err
 }
 
+// SetLinger sets SO_LINGER, like net.TCPConn. Connections without it end with an orderly close.
+func (c *callerConn) SetLinger(seconds int) error {
+	conn, ok := c.Conn.(interface{ SetLinger(int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return conn.SetLinger(seconds)
+}
+
 func (c *callerConn) closeIfIdle() {
 	if c.state.CompareAndSwap(connIdle, connClosed) {
 		_ = c.Conn.Close() // the connection is discarded whether or not this fails
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/quarantine"
+	"github.com/merlinpost/merlinpost/internal/responseguard"
 	"github.com/merlinpost/merlinpost/internal/retrybudget"
 	"github.com/merlinpost/merlinpost/internal/routing"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
@@ -139,6 +140,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	defer g.logPanic()
+	complete := responseguard.Begin(r)
 	if mustClose(r) || g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -146,6 +148,7 @@
 	defer g.releaseBody(q)
 	if err != nil {
 		g.writeError(w, q, err)
+		complete()
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline.Add(deadlineGrace), errDeadline)
@@ -154,6 +157,7 @@
 	defer cancelWithCause(nil)
 	defer context.AfterFunc(g.shutdownCtx, func() { cancelWithCause(errShuttingDown) })()
 	g.serve(ctx, w, q)
+	complete()
 }
 
 // Causes for which a request's context is cancelled, other than that the caller has disconnected.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/merlinpost/merlinpost/internal/responseguard"
 )
 
 const (
@@ -37,7 +39,7 @@
 	}
 	callerConns := newCallerListener(listener, g.limits)
 	server := &http.Server{Handler: g, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: callerConns.onStateChange, ErrorLog: discardLogger()}
+		MaxHeaderBytes: maxHeaderBytes, ConnState: callerConns.onStateChange, ConnContext: responseguard.ConnContext, ErrorLog: discardLogger()}
 	failed := make(chan error, 3)
 	serve := func(s *http.Server, l net.Listener) {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/fault"
+	"github.com/merlinpost/merlinpost/internal/responseguard"
 	"github.com/merlinpost/merlinpost/internal/settings"
 )
 
@@ -37,7 +38,8 @@
 func (r *Router) Serve(ctx context.Context, stop <-chan struct{}, l Listeners, h Handlers) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	callers := &http.Server{Handler: h.Callers, ReadHeaderTimeout: settings.Millis(r.settings.Callers.HeaderTimeoutMS)}
+	callers := &http.Server{Handler: h.Callers, ReadHeaderTimeout: settings.Millis(r.settings.Callers.HeaderTimeoutMS),
+		ConnContext: responseguard.ConnContext}
 	operators := &http.Server{Handler: h.Operators, ReadHeaderTimeout: settings.Millis(r.settings.Callers.HeaderTimeoutMS)}
 	go func() { _ = callers.Serve(l.Callers) }()     // ends with ErrServerClosed
 	go func() { _ = operators.Serve(l.Operators) }() // ends with ErrServerClosed
