Buffered responses and readers of streams: a stream that ends inside an event is broken off

A stream of events on a route whose responses are not streamed, and one that an agent reads from a plain service, was returned as complete although it ended inside an event. The load tool and the caller of the scenario tests stopped reading at [DONE]: they did not notice a response that was broken off after it.

Looked at and found in order: the agent's reader of engines needs [DONE]; a new test cuts an engine's stream at each place, with chunks and with neither chunks nor a length.

TestBufferedStreamsThatEndInsideAnEventAreNotDelivered, TestServiceResponseThatEndsInsideAnEventFails and the case 'broken off' of TestReadStreamDetectsInvalidResponses failed before.

--- a/e2e/callers_test.go
+++ b/e2e/callers_test.go
@@ -87,7 +87,7 @@
 		}
 		if string(data) == "[DONE]" {
 			o.Complete = true
-			break
+			continue // the response must end too
 		}
 		var ev struct {
 			apiError
@@ -113,6 +113,9 @@
 		}
 	}
 	o.Text = text.String()
+	if err := lines.Err(); err != nil && o.Complete {
+		o.Complete, o.Err = false, err
+	}
 	if !o.Complete && o.Code == "" && o.Err == nil {
 		o.Err = errors.New("the stream ended without [DONE]")
 		if err := lines.Err(); err != nil {
--- a/internal/agent/calls_test.go
+++ b/internal/agent/calls_test.go
@@ -119,6 +119,41 @@
 	}
 }
 
+// Guards against completing a run whose engine broke off, wherever that happened and however the response was framed.
+func TestEngineStreamsThatAreCutFail(t *testing.T) {
+	const whole = "data: {\"choices\":[{\"text\":\"a\"}]}\r\n\r\ndata: {\"choices\":[{\"text\":\"b\"}]}\n\ndata: [DONE]"
+	for _, closeDelimited := range []bool{false, true} {
+		for cut := range len(whole) {
+			c := newEngineClient(startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				if closeDelimited {
+					w.Header().Set("Transfer-Encoding", "identity") // neither chunks nor a length
+				}
+				_, _ = fmt.Fprint(w, whole[:cut]) // a write error shows up as a failed run, too
+			}))
+			text := ""
+			_, e := c.generate(context.Background(), newEngineRun(`{"prompt":"p"}`), func(data []byte) { text += string(data) })
+			NewWithT(t).Expect(e).NotTo(BeNil(), whole[:cut])
+			NewWithT(t).Expect("ab").To(HavePrefix(text))
+		}
+	}
+}
+
+// Guards against returning a stream of events that a service broke off as its complete response.
+func TestServiceResponseThatEndsInsideAnEventFails(t *testing.T) {
+	g := NewWithT(t)
+	body := "id: 1\ndata: x\n\n"
+	c := newServiceClient(startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprint(w, body) // a write error shows up as a wrong result below
+	}))
+	_, _, e := c.call(context.Background(), newServiceRun())
+	g.Expect(e).To(BeNil())
+	body = body[:len(body)-1]
+	_, _, e = c.call(context.Background(), newServiceRun())
+	g.Expect(e).NotTo(BeNil())
+	g.Expect(e.Outcome).To(Equal(fault.Unknown))
+}
+
 // Fields of the caller's body are passed on, except those that the agent overrides.
 func TestCompletionRequestBody(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/merlinpost/merlinpost/internal/eventstream"
 	"github.com/merlinpost/merlinpost/internal/execution"
 	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/httpsent"
@@ -61,6 +63,9 @@
 	if err == nil && len(body) > maxServiceResponseBytes {
 		err = fmt.Errorf("the response exceeds the limit of %d bytes", maxServiceResponseBytes)
 	}
+	if err == nil && eventstream.EndsInsideEvent(resp.Header, body) {
+		err = errors.New("the response ended inside an event")
+	}
 	if err != nil {
 		return nil, wire.End{}, fault.New(fault.EngineFailed, "read the service's response: %w", err).WithOutcome(fault.Unknown)
 	}
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -37,6 +37,20 @@
 	})
 }
 
+// EndsInsideEvent reports whether a whole response body is declared as a stream of events and ends
+// inside an event.
+func EndsInsideEvent(h http.Header, body []byte) bool {
+	var r Reader
+	if h.Get("Content-Type") == "" || !r.IsEvents(h) {
+		return false
+	}
+	r.Add(body)
+	for event := r.Next(); event != nil; event = r.Next() {
+	}
+	_, rest := r.Unended()
+	return len(rest) > 0
+}
+
 // Reader splits a stream into complete events. The zero value is ready for use.
 type Reader struct {
 	start   []byte // first bytes of the stream, at most maxFieldPrefix
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -105,3 +105,14 @@
 		NewWithT(t).Expect(r.IsEvents(c.header)).To(Equal(c.want), "%v %q", c.header, c.body)
 	}
 }
+
+func TestEndsInsideEvent(t *testing.T) {
+	g := NewWithT(t)
+	eventStream := http.Header{"Content-Type": {MediaType}}
+	g.Expect(EndsInsideEvent(eventStream, nil)).To(BeFalse())
+	g.Expect(EndsInsideEvent(eventStream, []byte("data: x\n\ndata: y\r\n\r\n"))).To(BeFalse())
+	g.Expect(EndsInsideEvent(eventStream, []byte("data: x\r\r"))).To(BeFalse())
+	g.Expect(EndsInsideEvent(eventStream, []byte("data: x\n\ndata: y\n"))).To(BeTrue())
+	g.Expect(EndsInsideEvent(http.Header{}, []byte("data: x"))).To(BeFalse())
+	g.Expect(EndsInsideEvent(http.Header{"Content-Type": {"text/plain"}}, []byte("data: x"))).To(BeFalse())
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/merlinpost/merlinpost/internal/eventstream"
 	"github.com/merlinpost/merlinpost/internal/exchange"
 	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/registry"
@@ -52,6 +53,8 @@
 		return mayHaveRun, contextError(ctx, true)
 	case err != nil:
 		return mayHaveRun, fault.New(fault.IncompleteResponse, "the response body ended early: %w", err).WithOutcome(fault.Unknown)
+	case eventstream.EndsInsideEvent(resp.Header, body):
+		return mayHaveRun, fault.New(fault.IncompleteResponse, "%w", errEndedInsideEvent).WithOutcome(fault.Unknown)
 	case len(body) > maxBufferedBodyBytes:
 		return mayHaveRun, fault.New(fault.IncompleteResponse, "the response body exceeds %d bytes", maxBufferedBodyBytes).WithOutcome(fault.Unknown)
 	}
--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -135,6 +135,23 @@
 	}
 }
 
+// Guards against delivering a stream of events that ends inside an event on a route whose responses are not streamed.
+func TestBufferedStreamsThatEndInsideAnEventAreNotDelivered(t *testing.T) {
+	for _, framing := range framings {
+		cut := worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: len(worker.Event("a", 1)) + 3}}
+		h := harnessForTest(t, 2)
+		h.setNextBehaviour(cut)
+		Expect(h.post("/once/", "a").status).To(Equal(502))
+		Expect(h.runs()).To(HaveLen(1))
+
+		h = harnessForTest(t, 2)
+		h.workers[0].QueueBehaviours(cut)
+		for i := 0; h.workers[0].RequestCount() == 0; i++ {
+			Expect(h.post("/again/", fmt.Sprint("a", i)).status).To(Equal(200))
+		}
+	}
+}
+
 // Guards against delivering a stream without any event as complete.
 func TestStreamsWithoutEventsAreNotCompleted(t *testing.T) {
 	for _, framing := range framings {
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -167,7 +167,7 @@
 		}
 		if string(data) == "[DONE]" {
 			ended = true
-			break
+			continue // the response must end too
 		}
 		if bytes.HasPrefix(data, []byte(`{"error"`)) {
 			r.recordError(data, http.StatusOK)
@@ -190,7 +190,7 @@
 		r.tokens++
 	}
 	switch {
-	case !ended:
+	case !ended || lines.Err() != nil:
 		r.setError("connection", lines.Err())
 	case r.tokens != r.req.outputTokens:
 		r.wrongLength = true
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -58,7 +60,7 @@
 func TestReadStreamDetectsInvalidResponses(t *testing.T) {
 	req := &request{prompt: "p", outputTokens: 5, stream: &Stream{Class: "x"}}
 	for name, c := range map[string]struct {
-		body                      *bytes.Buffer
+		body                      io.Reader
 		answered                  bool
 		wrongContent, wrongLength bool
 		code                      string
@@ -68,6 +70,7 @@
 		"too long":      {body: streamedResponse("p", 6, true), wrongLength: true},
 		"wrong content": {body: streamedResponse("q", 5, true), wrongContent: true},
 		"truncated":     {body: streamedResponse("p", 5, false), code: "connection"},
+		"broken off":    {body: io.MultiReader(streamedResponse("p", 5, true), iotest.ErrReader(io.ErrUnexpectedEOF)), code: "connection"},
 		"error event":   {body: bytes.NewBufferString("data: {\"error\":{\"code\":\"engine_failed\",\"outcome\":\"partial\"}}\n\n"), code: "engine_failed"},
 	} {
 		t.Run(name, func(t *testing.T) {
