Tests: date a retry to the later arrival of its request

Traced to the check, not the product: it went through the arrivals server by server and took the first that it met for the request's first. If the retry's server came first in the list, the retry was dated to the arrival before it, up to seconds earlier, into another window.

The soak and the tests of the retry budget over processes had the same check. All three use worker.Retries now, which orders arrivals by time; it counts as many retries as before.

--- a/e2e/gatewaysoak_checks_test.go
+++ b/e2e/gatewaysoak_checks_test.go
@@ -188,22 +188,26 @@
 	retryBudgetWindow = 10 * time.Second
 )
 
+// allArrivals returns the times at which requests reached the workers.
+func allArrivals(workers []*worker.Worker) []time.Time {
+	var out []time.Time
+	for _, w := range workers {
+		for _, a := range w.Arrivals() {
+			out = append(out, a.At)
+		}
+	}
+	return out
+}
+
 // checkRetryBudget checks that the retries to each service stay within the retry budget in every window.
 func (s *gatewaySoak) checkRetryBudget() {
 	rule := retryrule.Rule{Ratio: retryBudgetRatio, Window: retryBudgetWindow, Slack: retryBudgetSlack}
 	for _, service := range []string{llmService, appService} {
-		seen := map[string]bool{}
-		var requests, retries []time.Time
-		for _, w := range s.workers {
-			if serviceOfWorker(w) != service {
-				continue
-			}
-			for _, a := range w.Arrivals() {
-				if seen[a.ID] || *gatewaySoakFalsified == "budget" {
-					retries = append(retries, a.At)
-				}
-				seen[a.ID] = true
-			}
+		workers := workersOf(s.workers, service)
+		var requests []time.Time
+		retries := worker.Retries(workers)
+		if *gatewaySoakFalsified == "budget" {
+			retries = append(retries, allArrivals(workers)...)
 		}
 		for _, a := range s.requests {
 			if serviceOfArrival(a) == service {
--- a/e2e/gatewaysoak_faults_test.go
+++ b/e2e/gatewaysoak_faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -190,6 +191,11 @@
 	return appService
 }
 
+// workersOf returns the workers of a service.
+func workersOf(workers []*worker.Worker, service string) []*worker.Worker {
+	return slices.DeleteFunc(slices.Clone(workers), func(w *worker.Worker) bool { return serviceOfWorker(w) != service })
+}
+
 // replaceWorker closes a worker without draining it and starts another one of the same service.
 func (s *gatewaySoak) replaceWorker(i int) {
 	old := s.fleet.workers[i]
--- a/e2e/retrybudget_test.go
+++ b/e2e/retrybudget_test.go
@@ -104,18 +104,7 @@
 
 // countRetries collects the retries that reached the servers of a service and determines the worst window.
 func (r *retryLoadResult) countRetries(f *fleet, service string) {
-	seen := map[string]bool{}
-	for _, w := range f.workers {
-		if serviceOfWorker(w) != service {
-			continue
-		}
-		for _, a := range w.Arrivals() {
-			if seen[a.ID] {
-				r.retries = append(r.retries, a.At)
-			}
-			seen[a.ID] = true
-		}
-	}
+	r.retries = worker.Retries(workersOf(f.workers, service))
 	r.worstWindow = retryrule.WorstWindow(retryrule.Rule{Ratio: retryBudgetRatio, Window: retryBudgetWindow, Slack: retryBudgetSlack}, r.requests, r.retries)
 }
 
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -187,19 +187,11 @@
 
 // retries returns the times of all arrivals beyond the first of each request.
 func (r *fleetRun) retries() []time.Time {
-	first := map[string]bool{}
-	var out []time.Time
+	var workers []*worker.Worker
 	for _, s := range r.Servers {
-		for _, w := range r.AllWorkers(s) {
-			for _, a := range w.Arrivals() {
-				if first[a.ID] {
-					out = append(out, a.At)
-				}
-				first[a.ID] = true
-			}
-		}
+		workers = append(workers, r.AllWorkers(s)...)
 	}
-	return out
+	return worker.Retries(workers)
 }
 
 // run simulates the scenario and returns its worst window and the total number of retries.
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -231,6 +232,25 @@
 	return append([]Arrival(nil), w.arrivals...)
 }
 
+// Retries returns the times at which requests reached the workers again, in any order of the workers: the times of
+// all arrivals but the earliest with each ID.
+func Retries(workers []*Worker) []time.Time {
+	var arrivals []Arrival
+	for _, w := range workers {
+		arrivals = append(arrivals, w.Arrivals()...)
+	}
+	slices.SortStableFunc(arrivals, func(a, b Arrival) int { return a.At.Compare(b.At) })
+	seen := map[string]bool{}
+	var out []time.Time
+	for _, a := range arrivals {
+		if seen[a.ID] {
+			out = append(out, a.At)
+		}
+		seen[a.ID] = true
+	}
+	return out
+}
+
 func (w *Worker) acceptConnections() {
 	for {
 		c, err := w.listener.Accept()
