Event streams: read complete events one by one, also at the end of the stream

No change of behaviour: Next takes whether the stream has ended, and relayEvents reads the events itself. The field of a send's record is called incomplete.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -45,10 +45,9 @@
 		return false
 	}
 	r.Add(body)
-	for event := r.Next(); event != nil; event = r.Next() {
+	for r.Next(true) != nil {
 	}
-	_, rest := r.Unended()
-	return len(rest) > 0
+	return len(r.Incomplete()) > 0
 }
 
 // Reader splits a stream into complete events. The zero value is ready for use.
@@ -67,17 +66,9 @@
 }
 
 // Next returns the next complete event, including its final blank line, or nil if there is none
-// yet. The event is valid until the next call of Add.
-func (r *Reader) Next() []byte { return r.next(false) }
-
-// Unended returns the data that follows the last complete event. It must be called at the end of
-// the stream, after Next has returned nil. If a CR that ends the stream completes an event, the
-// event is returned too.
-func (r *Reader) Unended() (event, rest []byte) {
-	return r.next(true), r.pending
-}
-
-func (r *Reader) next(atEnd bool) []byte {
+// yet. atEnd tells that no more data will be added, so that a CR at the end of the data ends a line.
+// The event is valid until the next call of Add.
+func (r *Reader) Next(atEnd bool) []byte {
 	for at := r.scanned; ; {
 		length, ending := r.lineLength(r.pending[at:], atEnd)
 		if ending == 0 {
@@ -94,6 +85,9 @@
 	}
 }
 
+// Incomplete returns the data that follows the last complete event, after Next has returned nil.
+func (r *Reader) Incomplete() []byte { return r.pending }
+
 // lineLength returns the lengths of the first line of data and of its ending. The ending is 0 if
 // the line is not complete. A CR at the end of data may be the first half of a CRLF, unless the
 // stream has only had other endings.
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -10,19 +10,18 @@
 )
 
 // read reads a stream that arrives in the given parts.
-func read(parts ...string) (events []string, unended string) {
+func read(parts ...string) (events []string, incomplete string) {
 	var r Reader
 	for _, p := range parts {
 		r.Add([]byte(p))
-		for event := r.Next(); event != nil; event = r.Next() {
+		for event := r.Next(false); event != nil; event = r.Next(false) {
 			events = append(events, string(event))
 		}
 	}
-	event, rest := r.Unended()
-	if event != nil {
+	for event := r.Next(true); event != nil; event = r.Next(true) {
 		events = append(events, string(event))
 	}
-	return events, string(rest)
+	return events, string(r.Incomplete())
 }
 
 // Guards against taking the rest of an event for a complete one, and against losing or delaying complete ones.
@@ -47,10 +46,10 @@
 			end += len(whole[complete])
 			complete++
 		}
-		events, unended := read(parts...)
+		events, incomplete := read(parts...)
 		g.Expect(strings.Join(events, "")).To(Equal(stream[:end]))
 		g.Expect(events).To(HaveLen(complete))
-		g.Expect(unended).To(Equal(stream[end:cut]))
+		g.Expect(incomplete).To(Equal(stream[end:cut]))
 	})
 }
 
@@ -62,7 +61,7 @@
 		var r Reader
 		for range 3 {
 			r.Add([]byte(event))
-			g.Expect(string(r.Next())).To(Equal(event))
+			g.Expect(string(r.Next(false))).To(Equal(event))
 		}
 	}
 }
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -340,7 +340,7 @@
 	record := sendRecord{Server: server.ID, Reason: choice.Reason, FetchFrom: choice.FetchFrom, Result: sendResultNames[result],
 		Running: choice.Candidate.View.InFlight, PendingPrefillTokens: choice.Candidate.View.UnreadTokens,
 		ExpectedPrefill: choice.ExpectedPrefill, TimeToFirstEvent: stats.TimeToFirstEvent, LongestGap: stats.LongestGap, SentAfter: sentAt.Sub(q.start), Took: g.now().Sub(sentAt), Notices: notices,
-		StreamEnd: meter.end, UnendedBytes: meter.unended}
+		StreamEnd: meter.end, IncompleteBytes: meter.incomplete}
 	if resp != nil {
 		record.Framing = resp.Framing
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -88,10 +88,10 @@
 	Took                 time.Duration `json:"took"`              // time until the response was relayed, the send failed or the permit was refused
 	// Framing is how the end of the response body is determined, or empty if there was no response.
 	Framing exchange.Framing `json:"framing,omitempty"`
-	// StreamEnd is where a stream ended, or empty for other responses. UnendedBytes is the number of bytes that
+	// StreamEnd is where a stream ended, or empty for other responses. IncompleteBytes is the number of bytes that
 	// followed its last complete event.
-	StreamEnd    streamEnd `json:"end,omitempty"`
-	UnendedBytes int       `json:"unended,omitempty"`
+	StreamEnd       streamEnd `json:"end,omitempty"`
+	IncompleteBytes int       `json:"incomplete,omitempty"`
 	// ServerExited is set if the connection broke because the server process exited.
 	ServerExited bool `json:"ended,omitempty"`
 	// Notices are the notices in the response headers, or nil if there are none.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,40 +22,31 @@
 	for {
 		n, err := resp.Read(buf)
 		events.Add(buf[:n])
-		var complete [][]byte
-		for event := events.Next(); event != nil; event = events.Next() {
-			complete = append(complete, event)
-		}
-		var unended []byte
-		if err != nil {
-			var last []byte
-			if last, unended = events.Unended(); last != nil {
-				complete = append(complete, last)
-			}
-		}
-		if werr := g.relayEvents(q, rel, resp, meter, complete); werr != nil {
+		if werr := g.relayEvents(q, rel, resp, meter, &events, err != nil); werr != nil {
 			return truncated, fault.New(fault.Cancelled, "the caller has left: %w", werr)
 		}
 		if err == nil {
 			continue
 		}
-		meter.recordEnd(err, len(unended))
+		incomplete := events.Incomplete()
+		meter.recordEnd(err, len(incomplete))
 		if err == io.EOF {
 			err = g.checkStreamEnd(q, server, rel, resp, meter, rel.hasID || events.IsEvents(resp.Header))
 		}
-		rel.eventBegun = len(unended) > 0
+		rel.eventBegun = len(incomplete) > 0
 		if err != nil {
 			return rel.streamError(ctx, err)
 		}
-		rel.finishStream(resp, unended)
+		rel.finishStream(resp, incomplete)
 		return delivered, nil
 	}
 }
 
-// relayEvents relays those of the events that are new. An error means that the caller has disconnected.
-func (g *Gateway) relayEvents(q *request, rel *relay, resp *exchange.Response, meter *streamMeter, events [][]byte) error {
+// relayEvents relays those of the complete events that are new. atEnd tells that no more data will arrive. An error
+// means that the caller has disconnected.
+func (g *Gateway) relayEvents(q *request, rel *relay, resp *exchange.Response, meter *streamMeter, events *eventstream.Reader, atEnd bool) error {
 	wrote := false
-	for _, event := range events {
+	for event := events.Next(atEnd); event != nil; event = events.Next(atEnd) {
 		if !rel.recordIfNew(event) {
 			continue
 		}
@@ -106,8 +97,8 @@
 	return nil
 }
 
-// finishStream ends a complete stream. rest is the data that follows the last event if the body is not a stream of
-// events.
+// finishStream ends a complete stream. rest is the data that follows the last event, which only a body that is not a
+// stream of events has.
 func (r *relay) finishStream(resp *exchange.Response, rest []byte) {
 	if !r.started {
 		r.startResponse(resp)
@@ -162,7 +153,7 @@
 	firstAt      time.Time // arrival of the first event
 	lastAt       time.Time // arrival of the last event
 	end          streamEnd
-	unended      int // bytes that follow the last complete event
+	incomplete   int // bytes that follow the last complete event
 }
 
 // streamEnd is the position in a stream of events at which it ended.
@@ -189,14 +180,14 @@
 	m.stats.Duration = now.Sub(m.firstAt)
 }
 
-// recordEnd records that the stream ended with err, io.EOF if the body is complete, after unended bytes of an
-// incomplete event.
-func (m *streamMeter) recordEnd(err error, unended int) {
-	m.unended = unended
+// recordEnd records that the stream ended with err, io.EOF if its framing is complete, after the given number of bytes
+// of an incomplete event.
+func (m *streamMeter) recordEnd(err error, incomplete int) {
+	m.incomplete = incomplete
 	switch {
 	case err != io.EOF:
 		m.end = streamFailed
-	case unended > 0:
+	case incomplete > 0:
 		m.end = streamEndedInsideEvent
 	case m.stats.Events == 0:
 		m.end = streamEndedEmpty
