Gateway: end a stream in one step; do not flush it before its end where that is not needed

The events are flushed before the end only if the server is to be probed or the response is aborted. Bodies that are not streams of events have no end in the record of the send, and a caller who left is not counted as a stream that failed.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -110,11 +109,6 @@
 	return &sendRecord{}
 }
 
-// endedInsideEvent reports whether the stream of any send ended inside an event.
-func (q *request) endedInsideEvent() bool {
-	return slices.ContainsFunc(q.sends, func(s sendRecord) bool { return s.StreamEnd == streamEndedInsideEvent })
-}
-
 // retryDenied reports whether the retry budget denied a retry after the last send.
 func (q *request) retryDenied() bool {
 	d := q.lastSend().RetryDecision
--- a/internal/gateway/server_exits.go
+++ b/internal/gateway/server_exits.go
@@ -46,7 +46,7 @@
 	if g.notices.Draining(server.InstanceID()) {
 		return false // a planned shutdown
 	}
-	check := g.checkExit(server, crash.At.Add(-exitCheckTTL))
+	check := g.checkExit(server, time.Time{})
 	<-check.done
 	if check.exited {
 		g.recordExit(interruptedRun{q.quarantineID(), crash})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,30 +22,26 @@
 	for {
 		n, err := resp.Read(buf)
 		events.Add(buf[:n])
-		if werr := g.relayEvents(q, rel, resp, meter, &events, err != nil); werr != nil {
-			return truncated, fault.New(fault.Cancelled, "the caller has left: %w", werr)
-		}
-		if err == nil {
-			continue
+		wrote, werr := g.relayEvents(q, rel, resp, meter, &events, err != nil)
+		if werr == nil && wrote && err != io.EOF {
+			werr = rel.flush()
 		}
-		incomplete := events.Incomplete()
-		meter.recordEnd(err, len(incomplete))
-		if err == io.EOF {
-			err = g.checkStreamEnd(q, server, rel, resp, meter, rel.hasID || events.IsEvents(resp.Header))
-		}
-		rel.eventBegun = len(incomplete) > 0
-		if err != nil {
+		switch {
+		case werr != nil:
+			return truncated, fault.New(fault.Cancelled, "the caller has left: %w", werr)
+		case err == io.EOF:
+			return g.endStream(ctx, q, server, rel, resp, meter, &events)
+		case err != nil:
+			meter.recordEnd(streamFailed, &events)
+			rel.eventBegun = meter.incomplete > 0
 			return rel.streamError(ctx, err)
 		}
-		rel.finishStream(resp, incomplete)
-		return delivered, nil
 	}
 }
 
-// relayEvents relays those of the complete events that are new. atEnd tells that no more data will arrive. An error
-// means that the caller has disconnected.
-func (g *Gateway) relayEvents(q *request, rel *relay, resp *exchange.Response, meter *streamMeter, events *eventstream.Reader, atEnd bool) error {
-	wrote := false
+// relayEvents relays those of the complete events that are new, without flushing them. atEnd tells that no more data
+// will arrive. An error means that the caller has disconnected.
+func (g *Gateway) relayEvents(q *request, rel *relay, resp *exchange.Response, meter *streamMeter, events *eventstream.Reader, atEnd bool) (wrote bool, err error) {
 	for event := events.Next(atEnd); event != nil; event = events.Next(atEnd) {
 		if !rel.recordIfNew(event) {
 			continue
@@ -59,14 +55,43 @@
 			rel.w.WriteHeader(resp.Status)
 		}
 		if _, err := rel.w.Write(event); err != nil {
-			return err
+			return wrote, err
 		}
 		wrote = true
 	}
-	if !wrote {
-		return nil
+	return wrote, nil
+}
+
+// flush sends what has been written to the caller. An error means that the caller has disconnected.
+func (r *relay) flush() error { return http.NewResponseController(r.w).Flush() }
+
+// endStream ends a stream whose body has ended as its framing requires.
+func (g *Gateway) endStream(ctx context.Context, q *request, server registry.Server, rel *relay, resp *exchange.Response, meter *streamMeter, events *eventstream.Reader) (sendResult, error) {
+	if !rel.hasID && !events.IsEvents(resp.Header) {
+		rel.finishStream(resp, events.Incomplete()) // not a stream of events
+		return delivered, nil
+	}
+	meter.recordEnd(streamEndedAfterEvent, events)
+	err := checkStreamEnd(q, rel, meter)
+	if err == nil && resp.Framing != exchange.FramedByClose {
+		rel.finishStream(resp, nil)
+		return delivered, nil
 	}
-	return http.NewResponseController(rel.w).Flush()
+	// The events are flushed before the server is probed, and because aborting the response would discard them.
+	if rel.started {
+		if werr := rel.flush(); werr != nil {
+			return truncated, fault.New(fault.Cancelled, "the caller has left: %w", werr)
+		}
+	}
+	if err == nil && g.exitedUnexpectedly(server, g.now()) {
+		err = errServerExited
+	}
+	if err != nil {
+		rel.eventBegun = meter.incomplete > 0
+		return rel.streamError(ctx, err)
+	}
+	rel.finishStream(resp, nil)
+	return delivered, nil
 }
 
 // Reasons why a stream is incomplete although its body ended regularly.
@@ -77,28 +102,21 @@
 	errServerExited     = errors.New("the server exited when it closed the connection")
 )
 
-// checkStreamEnd returns an error if a stream whose body ended regularly is incomplete. If it is not a stream of
-// events, its framing alone determines whether it is complete.
-func (g *Gateway) checkStreamEnd(q *request, server registry.Server, rel *relay, resp *exchange.Response, meter *streamMeter, isEvents bool) error {
-	if !isEvents {
-		return nil
-	}
-	empty := meter.end == streamEndedEmpty
+// checkStreamEnd returns an error if a stream of events that ended regularly is incomplete.
+func checkStreamEnd(q *request, rel *relay, meter *streamMeter) error {
+	resumed := rel.hasID || q.info.LastEventID != ""
 	switch {
 	case meter.end == streamEndedInsideEvent:
 		return errEndedInsideEvent
-	case empty && rel.eventBegun:
+	case meter.end == streamEndedEmpty && rel.eventBegun:
 		return errNotContinued
-	case empty && !rel.hasID && q.info.LastEventID == "" && q.method != http.MethodHead:
+	case meter.end == streamEndedEmpty && !resumed && q.method != http.MethodHead:
 		return errEndedEmpty
-	case resp.Framing == exchange.FramedByClose && g.exitedUnexpectedly(server, g.now()):
-		return errServerExited
 	}
 	return nil
 }
 
-// finishStream ends a complete stream. rest is the data that follows the last event, which only a body that is not a
-// stream of events has.
+// finishStream ends a complete response. rest is the data that has not been relayed.
 func (r *relay) finishStream(resp *exchange.Response, rest []byte) {
 	if !r.started {
 		r.startResponse(resp)
@@ -180,18 +198,15 @@
 	m.stats.Duration = now.Sub(m.firstAt)
 }
 
-// recordEnd records that the stream ended with err, io.EOF if its framing is complete, after the given number of bytes
-// of an incomplete event.
-func (m *streamMeter) recordEnd(err error, incomplete int) {
-	m.incomplete = incomplete
+// recordEnd records the end of the stream: streamFailed, or streamEndedAfterEvent unless the last event is incomplete
+// or there is none.
+func (m *streamMeter) recordEnd(end streamEnd, events *eventstream.Reader) {
+	m.end, m.incomplete = end, len(events.Incomplete())
 	switch {
-	case err != io.EOF:
-		m.end = streamFailed
-	case incomplete > 0:
+	case end == streamFailed:
+	case m.incomplete > 0:
 		m.end = streamEndedInsideEvent
 	case m.stats.Events == 0:
 		m.end = streamEndedEmpty
-	default:
-		m.end = streamEndedAfterEvent
 	}
 }
--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -82,27 +81,28 @@
 	}
 }
 
-// Guards against breaking off or repeating complete responses.
+// Guards against breaking off or repeating complete responses, also those on streaming routes that are not streams.
 func TestCompleteResponsesAreDeliveredOnceInAnyFraming(t *testing.T) {
 	for _, framing := range framings {
-		for _, route := range []string{"/stream/", "/resume/", "/once/", "/again/"} {
-			t.Run(fmt.Sprint(framing, route), func(t *testing.T) {
+		for _, c := range []struct {
+			route  string
+			events int
+		}{{"/stream/", cutStreamEvents}, {"/resume/", cutStreamEvents}, {"/stream/", 0}, {"/resume/", 0}, {"/once/", 0}, {"/again/", 0}} {
+			t.Run(fmt.Sprint(framing, c.route, c.events), func(t *testing.T) {
 				h := harnessForTest(t, 2)
-				want := worker.ResponseBody
-				behaviour := worker.Behaviour{Framing: framing, AbortAfterEvents: -1}
-				if slices.Contains([]string{"/stream/", "/resume/"}, route) {
-					behaviour.Events = cutStreamEvents
-					want = func(id string) string { return worker.StreamBody(id, cutStreamEvents) }
-				}
 				for _, w := range h.workers {
-					w.SetBehaviour(behaviour)
+					w.SetBehaviour(worker.Behaviour{Events: c.events, Framing: framing, AbortAfterEvents: -1})
 				}
 				for i := range 20 {
 					id := fmt.Sprint("a", i)
-					resp := h.post(route, id)
+					want := worker.ResponseBody(id)
+					if c.events > 0 {
+						want = worker.StreamBody(id, c.events)
+					}
+					resp := h.post(c.route, id)
 					Expect(resp.err).NotTo(HaveOccurred())
 					Expect(resp.status).To(Equal(200))
-					Expect(resp.body).To(Equal(want(id)))
+					Expect(resp.body).To(Equal(want))
 				}
 				Expect(h.runs()).To(HaveLen(20))
 			})
