--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -24,61 +24,56 @@
 	return strings.Count(worker.StreamBody(id, cutStreamEvents)[:n], "\n\n")
 }
 
-// Guards against ending the caller's stream regularly when the server's stream ends inside an event.
-func TestStreamsCutInsideAnEventAreNotCompleted(t *testing.T) {
-	const id = "a"
-	whole := worker.StreamBody(id, cutStreamEvents)
+// forEachCutInsideAnEvent runs a test for each framing and each number of bytes after which a stream ends inside an event.
+func forEachCutInsideAnEvent(t *testing.T, stream string, run func(t *testing.T, framing worker.Framing, cut int)) {
 	for _, framing := range framings {
-		for cut := 1; cut < len(whole); cut++ {
-			if strings.HasSuffix(whole[:cut], "\n\n") {
-				continue // between two events
+		for cut := 1; cut < len(stream); cut++ {
+			if !strings.HasSuffix(stream[:cut], "\n\n") {
+				t.Run(fmt.Sprint(framing, "/", cut), func(t *testing.T) { run(t, framing, cut) })
 			}
-			t.Run(fmt.Sprint(framing, "/", cut), func(t *testing.T) {
-				h := harnessForTest(t, 2)
-				h.setNextBehaviour(worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: cut}})
-				resp := h.post("/stream/", id)
-				events := wholeEvents(id, cut)
-				if events == 0 {
-					Expect(resp.err).NotTo(HaveOccurred())
-					Expect(resp.status).To(Equal(502))
-				} else {
-					Expect(resp.err).To(HaveOccurred())
-					Expect(resp.body).To(Equal(worker.StreamBody(id, events)))
-				}
-				Expect(h.runs()).To(HaveLen(1))
-			})
 		}
 	}
 }
 
+// Guards against ending the caller's stream regularly when the server's stream ends inside an event.
+func TestStreamsCutInsideAnEventAreNotCompleted(t *testing.T) {
+	const id = "a"
+	forEachCutInsideAnEvent(t, worker.StreamBody(id, cutStreamEvents), func(t *testing.T, framing worker.Framing, cut int) {
+		h := harnessForTest(t, 2)
+		h.setNextBehaviour(worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: cut}})
+		resp := h.post("/stream/", id)
+		events := wholeEvents(id, cut)
+		if events == 0 {
+			Expect(resp.err).NotTo(HaveOccurred())
+			Expect(resp.status).To(Equal(502))
+		} else {
+			Expect(resp.err).To(HaveOccurred())
+			Expect(resp.body).To(Equal(worker.StreamBody(id, events)))
+		}
+		Expect(h.runs()).To(HaveLen(1))
+	})
+}
+
 // Guards against not resuming a stream that ends inside an event.
 func TestStreamsCutInsideAnEventAreResumed(t *testing.T) {
-	whole := worker.StreamBody("a0", cutStreamEvents)
-	for _, framing := range framings {
-		for cut := 1; cut < len(whole); cut++ {
-			if strings.HasSuffix(whole[:cut], "\n\n") {
-				continue // between two events
-			}
-			t.Run(fmt.Sprint(framing, "/", cut), func(t *testing.T) {
-				h := harnessForTest(t, 2)
-				for _, w := range h.workers {
-					w.SetBehaviour(worker.Behaviour{Events: cutStreamEvents, Framing: framing, AbortAfterEvents: -1})
-				}
-				h.workers[0].QueueBehaviours(worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: cut}})
-				id := ""
-				for i := 0; h.workers[0].RequestCount() == 0; i++ {
-					id = "a" + string(rune('0'+i%10))
-					resp := h.post("/resume/", id)
-					Expect(resp.err).NotTo(HaveOccurred())
-					Expect(resp.status).To(Equal(200))
-					Expect(resp.body).To(Equal(worker.StreamBody(id, cutStreamEvents)))
-				}
-				runs := h.workers[1].Executions()
-				Expect(runs[len(runs)-1].ID).To(Equal(id))
-				Expect(runs[len(runs)-1].LastEventID).To(Equal(wholeEvents(id, cut)))
-			})
+	forEachCutInsideAnEvent(t, worker.StreamBody("a0", cutStreamEvents), func(t *testing.T, framing worker.Framing, cut int) {
+		h := harnessForTest(t, 2)
+		for _, w := range h.workers {
+			w.SetBehaviour(worker.Behaviour{Events: cutStreamEvents, Framing: framing, AbortAfterEvents: -1})
 		}
-	}
+		h.workers[0].QueueBehaviours(worker.Behaviour{Events: cutStreamEvents, Framing: framing, Cut: &worker.Cut{Bytes: cut}})
+		id := ""
+		for i := 0; h.workers[0].RequestCount() == 0; i++ {
+			id = fmt.Sprint("a", i%10)
+			resp := h.post("/resume/", id)
+			Expect(resp.err).NotTo(HaveOccurred())
+			Expect(resp.status).To(Equal(200))
+			Expect(resp.body).To(Equal(worker.StreamBody(id, cutStreamEvents)))
+		}
+		runs := h.workers[1].Executions()
+		Expect(runs[len(runs)-1].ID).To(Equal(id))
+		Expect(runs[len(runs)-1].LastEventID).To(Equal(wholeEvents(id, cut)))
+	})
 }
 
 // Guards against breaking off or repeating complete responses, also those on streaming routes that are not streams.
