--- a/e2e/streamends_test.go
+++ b/e2e/streamends_test.go
@@ -60,8 +60,7 @@
 	g.Expect(err).To(MatchError(syscall.ECONNRESET))
 }
 
-// Guards against streams that end as complete for their callers, and are logged as delivered, although their server
-// broke them off inside an event.
+// Guards against completing, and logging as delivered, a stream that its server broke off inside an event.
 func TestGatewaysLogStreamsThatEndInsideAnEventAsBrokenOff(t *testing.T) {
 	for _, framing := range []worker.Framing{worker.FramedByLength, worker.FramedByChunks, worker.FramedByClose} {
 		t.Run(string(framing), func(t *testing.T) {
--- a/internal/exchange/probe_test.go
+++ b/internal/exchange/probe_test.go
@@ -10,8 +10,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against taking a process that exits for a running one because its listener accepts a last connection, and
-// a running one that closes new connections for one that exited.
+// Guards against mistaking an exiting process that accepts a last connection for a running one, and the reverse.
 func TestProbeDistinguishesExitedFromRunningProcesses(t *testing.T) {
 	refused, reset := syscall.ECONNREFUSED, syscall.ECONNRESET
 	const opened, closed = syscall.Errno(0), syscall.EPIPE // a connection that stays open, or is closed by the peer
--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -206,8 +206,7 @@
 	}
 }
 
-// Guards against completing a stream whose server exits between two events, if only the end of the connection
-// delimits the stream.
+// Guards against completing a stream that only the end of its connection delimits when the server exits between events.
 func TestStreamsWhoseServerExitsBetweenEventsAreNotCompleted(t *testing.T) {
 	const id, whole = "a", 3
 	for _, route := range []string{"/stream/", "/resume/"} {
--- a/internal/responseguard/responseguard_test.go
+++ b/internal/responseguard/responseguard_test.go
@@ -13,8 +13,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a broken response of HTTP/1.0 that its caller takes for a complete one, and against resetting a
-// complete one.
+// Guards against broken responses of HTTP/1.0 that look complete to callers, and against resetting complete ones.
 func TestOnlyBrokenResponsesAreReset(t *testing.T) {
 	const part = "data: x\n\n"
 	for _, c := range []struct {
--- a/internal/standin/worker/body.go
+++ b/internal/standin/worker/body.go
@@ -97,7 +97,7 @@
 	return fmt.Sprintf("Content-Length: %d\r\n", size)
 }
 
-// writePart writes a part of the body. Errors are those of the connection and are also returned by later calls.
+// writePart writes a part of the body. Errors are returned by Flush and end.
 func (b *bodyWriter) writePart(part string) {
 	if b.framing == FramedByChunks {
 		part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -7,8 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against dating a retry to the first arrival of its request, which the order of the workers could make the
-// second one.
+// Guards against dating a retry to the first arrival of its request, depending on the order of the workers.
 func TestRetriesAreDatedToTheLaterArrivals(t *testing.T) {
 	at := func(ms int) time.Time { return time.UnixMilli(int64(ms)) }
 	first := &Worker{arrivals: []Arrival{{"a", at(30)}, {"b", at(5)}}}
