--- a/review/second/endless.go
+++ b/review/second/endless.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -22,7 +23,8 @@
 	endlessBytesPerSecond = 50 << 20
 	// keptChannels is the number of consumers that post receipts one after the other, each on a channel of its own.
 	keptChannels = 14
-	// receiptWork and receiptPause are the work of a receipt and the time to the next one.
+	// receiptWork is the mean work of a receipt, receiptPause the mean time to the next one. Both are drawn, from half
+	// to one and a half times as much, so that the consumers don't keep step.
 	receiptWork, receiptPause = 60 * time.Millisecond, 10 * time.Millisecond
 	calmTime                  = 5 * time.Second
 	reportLimit               = 15 * time.Second
@@ -102,7 +104,7 @@
 	defer f.close()
 	sound := func(x *exchange) bool {
 		x.begin()
-		time.Sleep(receiptWork)
+		time.Sleep(around(receiptWork))
 		return x.send(http.StatusOK, x.seal(), plainBody(x.id))
 	}
 	if err := f.addWorkers(3, plainService, sound); err != nil {
@@ -175,7 +177,7 @@
 		select {
 		case <-done:
 			return 0
-		case <-time.After(receiptPause):
+		case <-time.After(around(receiptPause)):
 		}
 		id := fmt.Sprintf("receipt%d-%d", consumer, n)
 		a := c.send(request("puxa403", id, "receipt", 1500*time.Millisecond), 2*time.Second)
@@ -190,3 +192,8 @@
 		return 0
 	}
 }
+
+// around draws a duration from half to one and a half times the mean.
+func around(mean time.Duration) time.Duration {
+	return mean/2 + rand.N(mean)
+}
