--- a/review/second/endless.go
+++ b/review/second/endless.go
@@ -26,8 +26,15 @@
 	// receiptWork is the mean work of a receipt, receiptPause the mean time to the next one. Both are drawn, from half
 	// to one and a half times as much, so that the consumers don't keep step.
 	receiptWork, receiptPause = 60 * time.Millisecond, 10 * time.Millisecond
-	calmTime                  = 5 * time.Second
-	reportLimit               = 15 * time.Second
+	calmTime                  = 6 * time.Second
+	// tagGap is the time between two tags, short streams that go to the same workers: about 25 a second, as on the sheet.
+	tagGap, tagEvents = 40 * time.Millisecond, 5
+	// garbleTime and garbleShare are the limits of the site file: for how long workers garble answers, and how many of
+	// their answers. A worker garbles one if it has given so many in that time that this is within the share.
+	garbleTime, garbleShare = 5500 * time.Millisecond, 0.03
+	// lateReports is the number of reports that are sent, reportInterval apart, until one is garbled.
+	lateReports, reportInterval = 20, 200 * time.Millisecond
+	reportLimit                 = 15 * time.Second
 	// reportGap is the gap after which a consumer abandons a report: four times its response-time goal.
 	reportGap = 10 * time.Second
 )
@@ -110,13 +117,16 @@
 	if err := f.addWorkers(3, plainService, sound); err != nil {
 		return "", err
 	}
-	stream := answerStream(streamEvents, streamPause)
+	report, tag := answerStream(streamEvents, streamPause), answerStream(tagEvents, streamPause)
 	var garbled atomic.Bool
 	garble := func(x *exchange) bool { // one answer of one worker
-		if trouble && strings.HasPrefix(x.id, "garbled") && !garbled.Swap(true) {
+		switch {
+		case strings.HasPrefix(x.id, "tag"):
+			return tag(x)
+		case trouble && strings.HasPrefix(x.id, "late") && x.worker.mayGarble() && !garbled.Swap(true):
 			return answerEndless(x)
 		}
-		return stream(x)
+		return report(x)
 	}
 	if err := f.addWorkers(3, modelService, garble); err != nil {
 		return "", err
@@ -140,11 +150,16 @@
 			rec.printf("%s: %s", id, sendReport(g, id))
 		})
 	}
+	wg.Go(func() { sendTags(f, done) })
 	time.Sleep(calmTime)
-	wg.Go(func() {
-		rec.printf("garbled is sent to %s", g.name)
-		rec.printf("garbled: %s", sendReport(g, "garbled"))
-	})
+	for i := 0; i < lateReports && !garbled.Load(); i++ {
+		wg.Go(func() {
+			id := fmt.Sprintf("late%d", i)
+			rec.printf("%s is sent to %s", id, g.name)
+			rec.printf("%s: %s", id, sendReport(g, id))
+		})
+		time.Sleep(reportInterval)
+	}
 	time.Sleep(reportGap)
 	close(done)
 	wg.Wait()
@@ -155,6 +170,35 @@
 	return fmt.Sprintf("LOST: the process was killed for its memory; %d requests from kept channels were passed on to sound workers, and their channels closed without an answer", lost.Load()), nil
 }
 
+// mayGarble reports whether one garbled answer is within the share of the answers that the worker has given.
+func (w *worker) mayGarble() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	recent := 0
+	for _, r := range w.runs {
+		if time.Since(r.at) <= garbleTime {
+			recent++
+		}
+	}
+	w.rec.printf("worker %s has begun %d answers in the last %s", w.id, recent, garbleTime)
+	return 1 <= garbleShare*float64(recent)
+}
+
+// sendTags sends tags, each on a new channel, to all gateways in turn until done is closed.
+func sendTags(f *fleet, done <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(tagGap):
+		}
+		go func() {
+			id, g := fmt.Sprintf("tag%d", n), f.gateways[n%len(f.gateways)]
+			f.rec.printf("%s to %s: %s", id, g.name, sendReport(g, id))
+		}()
+	}
+}
+
 // sendReport sends a report on a new channel and reads the answer until the consumer would abandon it.
 func sendReport(g *gateway, id string) answer {
 	c, err := open(g.front)
