--- a/review/second/endless.go
+++ b/review/second/endless.go
@@ -32,9 +32,7 @@
 	// garbleTime and garbleShare are the limits of the site file: for how long workers garble answers, and how many of
 	// their answers. A worker garbles one if it has given so many in that time that this is within the share.
 	garbleTime, garbleShare = 5500 * time.Millisecond, 0.03
-	// lateReports is the number of reports that are sent, reportInterval apart, until one is garbled.
-	lateReports, reportInterval = 20, 200 * time.Millisecond
-	reportLimit                 = 15 * time.Second
+	reportLimit             = 15 * time.Second
 	// reportGap is the gap after which a consumer abandons a report: four times its response-time goal.
 	reportGap = 10 * time.Second
 )
@@ -97,7 +95,7 @@
 	return pages * int64(os.Getpagesize()) >> 20
 }
 
-// playEndlessEvent sends a report to a gateway. The answer of one worker is garbled: its first event does not end. Other
+// playEndlessEvent sends reports and tags. One answer of one worker is garbled: its first event does not end. Other
 // consumers post receipts meanwhile, which go to sound workers.
 func playEndlessEvent(rec *recorder, trouble bool) (string, error) {
 	f, err := newFleet(rec, []map[string]any{
@@ -118,15 +116,15 @@
 		return "", err
 	}
 	report, tag := answerStream(streamEvents, streamPause), answerStream(tagEvents, streamPause)
-	var garbled atomic.Bool
-	garble := func(x *exchange) bool { // one answer of one worker
+	var armed atomic.Bool              // set when the disruption begins
+	garble := func(x *exchange) bool { // one answer of one worker, to a request that was sent to the first gateway
 		switch {
-		case strings.HasPrefix(x.id, "tag"):
-			return tag(x)
-		case trouble && strings.HasPrefix(x.id, "late") && x.worker.mayGarble() && !garbled.Swap(true):
+		case !strings.HasPrefix(x.id, "tag"):
+			return report(x)
+		case strings.HasSuffix(x.id, "-0") && armed.Load() && x.worker.mayGarble() && armed.Swap(false):
 			return answerEndless(x)
 		}
-		return report(x)
+		return tag(x)
 	}
 	if err := f.addWorkers(3, modelService, garble); err != nil {
 		return "", err
@@ -152,14 +150,7 @@
 	}
 	wg.Go(func() { sendTags(f, done) })
 	time.Sleep(calmTime)
-	for i := 0; i < lateReports && !garbled.Load(); i++ {
-		wg.Go(func() {
-			id := fmt.Sprintf("late%d", i)
-			rec.printf("%s is sent to %s", id, g.name)
-			rec.printf("%s: %s", id, sendReport(g, id))
-		})
-		time.Sleep(reportInterval)
-	}
+	armed.Store(trouble)
 	time.Sleep(reportGap)
 	close(done)
 	wg.Wait()
@@ -193,7 +184,8 @@
 		case <-time.After(tagGap):
 		}
 		go func() {
-			id, g := fmt.Sprintf("tag%d", n), f.gateways[n%len(f.gateways)]
+			i := n % len(f.gateways)
+			id, g := fmt.Sprintf("tag%d-%d", n, i), f.gateways[i]
 			f.rec.printf("%s to %s: %s", id, g.name, sendReport(g, id))
 		}()
 	}
