--- a/internal/standin/worker/endless.go
+++ b/internal/standin/worker/endless.go
@@ -1,8 +1,10 @@
 package worker
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"strings"
 	"time"
@@ -106,6 +108,7 @@
 		size = largeBlock
 	}
 	text := strings.Repeat(repeated, size/len(repeated)+2)
+	body := UnframedBody{Begun: time.Now()}
 	for at := 0; ; at = (at + size) % len(repeated) {
 		time.Sleep(e.Interval)
 		block := text[at : at+size]
@@ -113,8 +116,13 @@
 			block = fmt.Sprintf("%x\r\n%s\r\n", len(block), block)
 		}
 		n, err := io.WriteString(c, block)
+		body.Bytes += int64(n)
+		body.Ended, body.ClosedByWorker = time.Now(), errors.Is(err, net.ErrClosed)
 		w.mu.Lock()
 		w.endlessBytes += int64(n)
+		if e.Place == EndlessBody {
+			w.unframedBodies[id] = body
+		}
 		w.mu.Unlock()
 		if err != nil {
 			return
@@ -122,6 +130,24 @@
 	}
 }
 
+// UnframedBody is a body without length, sent because of EndlessBody. It ends with its connection.
+type UnframedBody struct {
+	Bytes        int64 // sent so far
+	Begun, Ended time.Time
+	// ClosedByWorker is set if the worker closed the connection, so that what was sent is the whole body.
+	ClosedByWorker bool
+}
+
+// IsFiller reports whether a text is the beginning of an endless body.
+func IsFiller(text string) bool { return strings.Trim(text, "x") == "" }
+
+// UnframedBodies returns the bodies without length by request ID.
+func (w *Worker) UnframedBodies() map[string]UnframedBody {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.unframedBodies)
+}
+
 // EndlessBytes returns the number of bytes sent so far because of Behaviour.Endless.
 func (w *Worker) EndlessBytes() int64 {
 	w.mu.Lock()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -10,68 +10,12 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
-// Execution is a request that the worker has started to process.
-type Execution struct {
-	ID     string
-	Method string
-	Target string // path and query of the request
-	Body   string
-	Header http.Header
-	// LastEventID is the request's Last-Event-Id, 0 if absent. A stream starts
-	// with the event after it.
-	LastEventID int
-	At          time.Time
-}
-
-// Arrival is a received request, whether executed or rejected.
-type Arrival struct {
-	ID string
-	At time.Time
-}
-
-// Behaviour determines how the worker handles a request.
-type Behaviour struct {
-	// Reject responds with 503 without executing the request.
-	Reject bool
-	// RetryAfter is the Retry-After header of a rejection, in seconds; empty omits it.
-	RetryAfter string
-	// Status is the status code of the response; 0 means 200.
-	Status int
-	// Events is the number of events of a streamed response; 0 means that the
-	// response is not streamed.
-	Events int
-	// AbortAfterEvents is the number of the last event that is sent whole; the
-	// connection is closed in the middle of the next one. -1 means never.
-	AbortAfterEvents int
-	// Hang sends no response until the caller disconnects.
-	Hang bool
-	// DropConnection closes the connection without a response.
-	DropConnection bool
-	// Framing is how the end of the response body is determined.
-	Framing Framing
-	// Cut breaks off the body of a response, or of a stream instead of AbortAfterEvents; nil means never.
-	Cut *Cut
-	// ForeignResponseFirst sends a response to another request before the correct one.
-	ForeignResponseFirst bool
-	// OmitSeal omits the X-Response-Seal and X-Server-Load headers.
-	OmitSeal bool
-	// RejectBeforeBody responds with 413 before it reads the request body.
-	RejectBeforeBody bool
-	// EventInterval is the time between events.
-	EventInterval time.Duration
-	// Filler is the size of the response body, or of the data that is added to each event; 0 means none.
-	Filler int
-	// Endless sends bytes without end at some place of the response until the caller disconnects; nil means never.
-	Endless *Endless
-}
-
 // Worker is the stand-in. It is safe for concurrent use.
 type Worker struct {
 	ID string
@@ -87,45 +31,16 @@
 	partialN         int
 	partialOf        int
 	executions       []Execution
-	disconnectCount  int               // callers that disconnected before their response was complete
-	endlessBytes     int64             // sent because of Behaviour.Endless
+	disconnectCount  int   // callers that disconnected before their response was complete
+	endlessBytes     int64 // sent because of Behaviour.Endless
+	unframedBodies   map[string]UnframedBody
 	conns            map[net.Conn]bool // open connections
 	connectionCount  int               // accepted so far
 	arrivals         []Arrival
 	crashTrigger     crashTrigger
-	extraHeaders     string // header lines added to all responses
-}
-
-// crashTrigger describes the requests that crash the worker: those with a body or with one of some parts in their prompt.
-type crashTrigger struct {
-	body    string
-	parts   []string
-	delay   time.Duration // from the start of the execution to the crash
-	stage   CrashStage
-	onCrash func()
-}
-
-// CrashStage is how much of a streamed response is sent before the worker crashes.
-type CrashStage int
-
-// The stages at which a worker crashes.
-const (
-	CrashBeforeHead CrashStage = iota
-	CrashAfterHead
-	CrashAfterEvent
-	// CrashInsideEvent ends the body regularly inside the first event.
-	CrashInsideEvent
-)
-
-// matches reports whether the trigger applies to a request.
-func (t crashTrigger) matches(req *http.Request, body string) bool {
-	if t.onCrash == nil || t.parts == nil {
-		return t.onCrash != nil && body == t.body
-	}
-	return slices.ContainsFunc(strings.Split(req.Header.Get("X-Prompt-Prefix"), ","), func(entry string) bool {
-		id, _, _ := strings.Cut(entry, ":")
-		return slices.Contains(t.parts, id)
-	})
+	extraHeaders     string              // header lines added to all responses
+	lateCopies       map[net.Conn]string // to be sent before the next response
+	lateCopyCount    int                 // copies sent so far
 }
 
 // Start returns a worker that listens on a free local port until Close and responds
@@ -144,7 +59,7 @@
 
 // StartOn is like Start with a listener, which the worker closes.
 func StartOn(id string, l net.Listener) *Worker {
-	w := &Worker{ID: id, StartedMS: time.Now().UnixMilli(), listener: l, behaviour: Behaviour{AbortAfterEvents: -1}, conns: map[net.Conn]bool{}}
+	w := &Worker{ID: id, StartedMS: time.Now().UnixMilli(), listener: l, behaviour: Behaviour{AbortAfterEvents: -1}, conns: map[net.Conn]bool{}, lateCopies: map[net.Conn]string{}, unframedBodies: map[string]UnframedBody{}}
 	go w.acceptConnections()
 	return w
 }
@@ -170,52 +85,6 @@
 	}
 }
 
-// SetBehaviour sets how the worker handles requests from now on, except those of
-// QueueBehaviours and SetPartialBehaviour.
-func (w *Worker) SetBehaviour(b Behaviour) {
-	w.mu.Lock()
-	w.behaviour = b
-	w.mu.Unlock()
-}
-
-// SetResumedBehaviour sets how the worker handles requests that have a Last-Event-Id from now on.
-func (w *Worker) SetResumedBehaviour(b Behaviour) {
-	w.mu.Lock()
-	w.resumedBehaviour = &b
-	w.mu.Unlock()
-}
-
-// QueueBehaviours sets how the worker handles the next requests, one behaviour
-// per request.
-func (w *Worker) QueueBehaviours(b ...Behaviour) {
-	w.mu.Lock()
-	w.queuedBehaviours = append(w.queuedBehaviours, b...)
-	w.mu.Unlock()
-}
-
-// SetPartialBehaviour sets how the worker handles n out of every "of" requests from now on.
-func (w *Worker) SetPartialBehaviour(n, of int, b Behaviour) {
-	w.mu.Lock()
-	w.partialBehaviour, w.partialN, w.partialOf = b, n, of
-	w.mu.Unlock()
-}
-
-// CrashOn makes the worker crash once it has processed a request with this body for the
-// given time, and then call onCrash.
-func (w *Worker) CrashOn(body string, after time.Duration, onCrash func()) {
-	w.mu.Lock()
-	w.crashTrigger = crashTrigger{body: body, delay: after, stage: CrashAfterHead, onCrash: onCrash}
-	w.mu.Unlock()
-}
-
-// CrashOnParts makes the worker crash once it has processed a request whose prompt has one of the given parts for the
-// given time, and then call onCrash.
-func (w *Worker) CrashOnParts(parts []string, after time.Duration, stage CrashStage, onCrash func()) {
-	w.mu.Lock()
-	w.crashTrigger = crashTrigger{parts: parts, delay: after, stage: stage, onCrash: onCrash}
-	w.mu.Unlock()
-}
-
 // SetHeaders sets header lines, such as "Server-Limit: 1", that the worker adds to all its
 // responses from now on.
 func (w *Worker) SetHeaders(lines ...string) {
@@ -234,61 +103,6 @@
 	return w.extraHeaders
 }
 
-// Executions returns the requests executed so far.
-func (w *Worker) Executions() []Execution {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]Execution(nil), w.executions...)
-}
-
-// DisconnectCount returns the number of callers that disconnected before their response
-// was complete.
-func (w *Worker) DisconnectCount() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.disconnectCount
-}
-
-// ConnectionCount returns the number of connections accepted so far.
-func (w *Worker) ConnectionCount() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.connectionCount
-}
-
-// RequestCount returns the number of requests received so far, including rejected ones.
-func (w *Worker) RequestCount() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.arrivals)
-}
-
-// Arrivals returns the requests received so far, including rejected ones.
-func (w *Worker) Arrivals() []Arrival {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]Arrival(nil), w.arrivals...)
-}
-
-// Retries returns the times at which requests reached the workers again, in any order of the workers: the times of
-// all arrivals but the earliest with each ID.
-func Retries(workers []*Worker) []time.Time {
-	var arrivals []Arrival
-	for _, w := range workers {
-		arrivals = append(arrivals, w.Arrivals()...)
-	}
-	slices.SortStableFunc(arrivals, func(a, b Arrival) int { return a.At.Compare(b.At) })
-	seen := map[string]bool{}
-	var out []time.Time
-	for _, a := range arrivals {
-		if seen[a.ID] {
-			out = append(out, a.At)
-		}
-		seen[a.ID] = true
-	}
-	return out
-}
-
 func (w *Worker) acceptConnections() {
 	for {
 		c, err := w.listener.Accept()
@@ -309,6 +123,7 @@
 		_ = c.Close()
 		w.mu.Lock()
 		delete(w.conns, c)
+		delete(w.lateCopies, c)
 		w.mu.Unlock()
 	}()
 	r := bufio.NewReader(c)
@@ -317,31 +132,12 @@
 		if err != nil {
 			return
 		}
-		if !w.handleRequest(c, r, req) {
+		if !w.sendLateCopy(c) || !w.handleRequest(c, r, req) {
 			return
 		}
 	}
 }
 
-// nextBehaviour records the arrival of a request and returns how to handle it.
-func (w *Worker) nextBehaviour(id string, resumed bool) Behaviour {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.arrivals = append(w.arrivals, Arrival{id, time.Now()})
-	if resumed && w.resumedBehaviour != nil {
-		return *w.resumedBehaviour
-	}
-	if len(w.queuedBehaviours) > 0 {
-		b := w.queuedBehaviours[0]
-		w.queuedBehaviours = w.queuedBehaviours[1:]
-		return b
-	}
-	if w.partialN > 0 && len(w.arrivals)%w.partialOf < w.partialN {
-		return w.partialBehaviour
-	}
-	return w.behaviour
-}
-
 // handleRequest handles one request. It returns false if the connection must be closed.
 func (w *Worker) handleRequest(c net.Conn, r *bufio.Reader, req *http.Request) bool {
 	id := req.Header.Get("X-Attempt-Id")
@@ -370,6 +166,7 @@
 		if b.RetryAfter != "" {
 			headers += "Retry-After: " + b.RetryAfter + "\r\n"
 		}
+		w.setLateCopy(c, b.LateCopy, id, http.StatusServiceUnavailable, headers, "")
 		return w.writeResponse(c, id, http.StatusServiceUnavailable, headers, "")
 	}
 	lastEventID, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // 0 if absent
@@ -408,6 +205,7 @@
 	if b.Filler > 0 {
 		text = strings.Repeat("x", b.Filler)
 	}
+	w.setLateCopy(c, b.LateCopy, id, status, seal, text)
 	response := newBodyWriter(c, b.framing(), []string{text}, b.Cut)
 	_ = w.writeHeader(response, id, status, seal, response.headers()) // the error is returned by end
 	for _, part := range response.parts {
@@ -416,37 +214,6 @@
 	return response.end()
 }
 
-// crash crashes the worker while it processes a request. If stream is set, it first sends a streamed response up to
-// the trigger's stage.
-func (w *Worker) crash(c net.Conn, id string, trigger crashTrigger, stream bool) bool {
-	if stream && trigger.stage != CrashBeforeHead {
-		response := newBodyWriter(c, FramedByChunks, []string{Event(id, 1), Event(id, 2)}, trigger.stage.cut(id))
-		_ = w.writeHeader(response, id, http.StatusOK, w.streamHeaders(id), response.headers()) // the connection is closed in any case
-		for _, part := range response.parts {
-			response.writePart(part)
-		}
-		_ = response.Flush()
-		time.Sleep(trigger.delay)
-		_ = response.end()
-	} else {
-		time.Sleep(trigger.delay)
-	}
-	w.Close()
-	trigger.onCrash()
-	return false
-}
-
-// cut returns where the stream with the given ID is cut by a crash at this stage.
-func (s CrashStage) cut(id string) *Cut {
-	switch s {
-	case CrashAfterEvent:
-		return &Cut{Events: 1, Ending: CutByClose}
-	case CrashInsideEvent:
-		return &Cut{Bytes: len(Event(id, 1)) / 2, Ending: CutRegularly}
-	}
-	return &Cut{Ending: CutByClose}
-}
-
 // ResponseBody returns the body of the response to a request that is not streamed.
 func ResponseBody(id string) string { return "answer to " + id }
 
@@ -487,6 +254,10 @@
 // awaitDisconnect waits until the caller disconnects and counts it.
 func (w *Worker) awaitDisconnect(r *bufio.Reader) {
 	_, _ = r.Peek(1)
+	w.countDisconnect()
+}
+
+func (w *Worker) countDisconnect() {
 	w.mu.Lock()
 	w.disconnectCount++
 	w.mu.Unlock()
@@ -500,9 +271,9 @@
 // writeStream writes a streamed response from the event after lastEventID on. It returns false
 // if the connection must be closed.
 func (w *Worker) writeStream(c net.Conn, r *bufio.Reader, id string, lastEventID int, b Behaviour) bool {
-	disconnected := make(chan struct{})
+	next := make(chan error, 1) // nil when the next request arrives, an error when the caller disconnects
 	if b.EventInterval > 0 {
-		go func() { w.awaitDisconnect(r); close(disconnected) }()
+		go func() { _, err := r.Peek(1); next <- err }()
 	}
 	var events []string
 	for n := lastEventID + 1; n <= b.Events; n++ {
@@ -519,10 +290,19 @@
 			return false
 		}
 		select {
-		case <-disconnected:
-			return false
+		case err := <-next:
+			if err != nil {
+				w.countDisconnect()
+				return false
+			}
+			next <- nil // pipelined
+			time.Sleep(b.EventInterval)
 		case <-time.After(b.EventInterval):
 		}
 	}
-	return body.end() && b.EventInterval == 0
+	if !body.end() {
+		return false
+	}
+	// The connection is read by one goroutine at a time.
+	return b.EventInterval == 0 || <-next == nil
 }
