Gateway: the log of a request tells connection, proof and dropped responses of each send

Whether a request ran twice because the answer to one send was taken for that of another, or because something was taken as proof that it did not run, could not be told from logs or metrics.

Each entry of `sends` now has `conn` and `exchange` (the connection, and the number of the request on it), `proof` (what was taken as proof that the send did not run) and `dropped` (responses that belonged to no send: how many, and status, reason and ID of the first). Requests with dropped responses are logged within a rate limit though they would be sampled out. Metrics: merlinpost_gateway_not_run_total{proof} and merlinpost_gateway_dropped_responses_total{reason}.

What is concluded from a response is unchanged.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -32,6 +32,8 @@
 	// connection that has been idle for longer: if the server closes the
 	// connection at the same time, the only cost is a retry.
 	MayRepeat bool
+	// Attempt is the caller's attempt that the request belongs to. Do adds a Send to it.
+	Attempt *Attempt
 }
 
 // Stage is the step at which an exchange failed.
@@ -179,10 +181,14 @@
 // connection is closed if ctx ends before the response is closed. Errors are of
 // type *Error.
 func (p *Pool) Do(ctx context.Context, address string, req *Request) (*Response, error) {
+	send := req.Attempt.begin()
 	c, err := p.get(ctx, address, req.MayRepeat)
 	if err != nil {
 		return nil, &Error{Stage: Connecting, Err: err}
 	}
+	c.exchanges++
+	send.Connection, send.Exchange = c.id, c.exchanges
+	c.dropped, c.echoHeader = &send.Dropped, req.EchoHeader
 	stop := context.AfterFunc(ctx, c.close)
 	resp, err := c.roundTrip(req)
 	if err != nil {
@@ -228,6 +234,7 @@
 		if echo == "" || echo == req.EchoID {
 			return resp, nil
 		}
+		c.drop(resp, otherID)
 		skipped++
 		if skipped > maxMismatchedResponses || resp.Close || resp.ContentLength < 0 {
 			return nil, &Error{Stage: Mismatched, MayHaveRun: true, Err: errResponseMismatch}
@@ -352,6 +359,10 @@
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
+	id            uint64   // unique in the process
+	exchanges     int      // requests that were sent on the connection
+	dropped       *Dropped // of the current send
+	echoHeader    string
 	address       string
 	overhead      *overheadLimiter
 	reader        *bufio.Reader
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -96,6 +97,9 @@
 	return &Pool{dial: bounded, now: now, onDial: onDial, idle: map[string][]*conn{}}
 }
 
+// lastConnID is the ID of the connection that was opened last.
+var lastConnID atomic.Uint64
+
 // get returns a usable idle connection or opens a new one.
 func (p *Pool) get(ctx context.Context, address string, mayRepeat bool) (*conn, error) {
 	for {
@@ -113,9 +117,13 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, address: address, overhead: &overheadLimiter{Conn: raw}}
+	return newConn(raw, address), nil
+}
+
+func newConn(raw net.Conn, address string) *conn {
+	c := &conn{Conn: raw, id: lastConnID.Add(1), address: address, overhead: &overheadLimiter{Conn: raw}}
 	c.reader = bufio.NewReaderSize(c.overhead, readBufferBytes)
-	return c, nil
+	return c
 }
 
 // takeIdle removes and returns the most recently used idle connection to an
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -331,6 +331,7 @@
 	defer cancel()
 	resp, err := g.pool.Do(ctx, server.Address, g.outgoingRequest(q, server, choice.FetchFrom, rel))
 	var result sendResult
+	var proof exchange.Proof
 	var notices *notice.ResponseNotices
 	meter := &streamMeter{now: g.now, onFirstEvent: onFirstEvent, stats: &stats}
 	meter.onStarted = func() {
@@ -340,7 +341,7 @@
 	if err != nil {
 		stats.NoResponse = true
 		g.notices.EndSend(server.InstanceID(), sentAt)
-		result, err = g.exchangeError(ctx, b, err)
+		result, proof, err = g.exchangeError(ctx, b, err)
 	} else {
 		defer resp.Close()
 		info := g.dialect.ParseResponse(resp.Status, q.info.ID, resp.Header)
@@ -350,11 +351,12 @@
 			info.Load.At = g.now()
 			b.RecordLoad(*info.Load)
 		}
+		proof = resp.Proof(info.NotRun)
 		result, err = g.relayResponse(ctx, q, server, rel, resp, info, meter)
 		g.recordHealth(ctx, b, resp.Status, result)
 	}
 	stats.EngineFailed = ctx.Err() == nil && (result != delivered || resp.Status >= http.StatusInternalServerError)
-	record := sendRecord{Server: server.ID, Reason: choice.Reason, FetchFrom: choice.FetchFrom, Result: sendResultNames[result],
+	record := sendRecord{Server: server.ID, Reason: choice.Reason, FetchFrom: choice.FetchFrom, Result: sendResultNames[result], Send: *q.attempt.Last(), Proof: proof,
 		Running: choice.Candidate.View.InFlight, PendingPrefillTokens: choice.Candidate.View.UnreadTokens,
 		ExpectedPrefill: choice.ExpectedPrefill, TimeToFirstEvent: stats.TimeToFirstEvent, LongestGap: stats.LongestGap, SentAfter: sentAt.Sub(q.start), Took: g.now().Sub(sentAt), Notices: notices,
 		StreamEnd: meter.end, IncompleteBytes: meter.incomplete}
@@ -383,26 +385,37 @@
 		}
 	}
 	q.sends = append(q.sends, record)
+	countSend(q.service, record)
 	return result, err
 }
 
+// countSend updates the metrics of a send.
+func countSend(service string, record sendRecord) {
+	if record.Proof != "" {
+		telemetry.Count("merlinpost_gateway_not_run_total", "service", service, "proof", string(record.Proof))
+	}
+	if record.Dropped.Count > 0 {
+		telemetry.Count("merlinpost_gateway_dropped_responses_total", "service", service, "reason", string(record.Dropped.First.Reason))
+	}
+}
+
 // exchangeError classifies a send that failed before the response headers were received.
-func (g *Gateway) exchangeError(ctx context.Context, b *registry.Backend, err error) (sendResult, error) {
+func (g *Gateway) exchangeError(ctx context.Context, b *registry.Backend, err error) (sendResult, exchange.Proof, error) {
 	if ctx.Err() == nil {
 		b.RecordFailure(g.now(), true)
 	}
 	var e *exchange.Error
-	if errors.As(err, &e) && !e.MayHaveRun {
+	if errors.As(err, &e) && e.Proof() != "" {
 		if ctx.Err() != nil {
-			return notRun, contextError(ctx, false)
+			return notRun, e.Proof(), contextError(ctx, false)
 		}
-		return notRun, fault.New(fault.BackendServersUnreachable, "cannot connect to the backend server: %w", err).
+		return notRun, e.Proof(), fault.New(fault.BackendServersUnreachable, "cannot connect to the backend server: %w", err).
 			WithOutcome(fault.NotRun).WithRetryAfter(noServerRetryAfter)
 	}
 	if ctx.Err() != nil {
-		return mayHaveRun, contextError(ctx, true)
+		return mayHaveRun, "", contextError(ctx, true)
 	}
-	return mayHaveRun, fault.New(fault.LinkLost, "the backend server gave no answer: %w", err).WithOutcome(fault.Unknown)
+	return mayHaveRun, "", fault.New(fault.LinkLost, "the backend server gave no answer: %w", err).WithOutcome(fault.Unknown)
 }
 
 // recordHealth updates the health state of a backend server after a response.
@@ -436,7 +449,7 @@
 	}
 	g.dialect.Forward(header, f)
 	return &exchange.Request{Method: q.method, Target: q.target, Host: q.host, Header: header, Body: q.body, HasBody: q.hasBody,
-		EchoHeader: g.dialect.EchoHeader(), EchoID: q.info.ID, MayRepeat: q.route.MayRepeat()}
+		EchoHeader: g.dialect.EchoHeader(), EchoID: q.info.ID, MayRepeat: q.route.MayRepeat(), Attempt: &q.attempt}
 }
 
 const (
--- a/internal/gateway/errors_and_logs.go
+++ b/internal/gateway/errors_and_logs.go
@@ -95,14 +95,15 @@
 }
 
 // logResponse counts and logs a request whose response was delivered. Successes with a single send are sampled;
-// those that are not in the sample are logged within a rate limit if their response had notices.
+// those that are not in the sample are logged within a rate limit if their response had notices or other responses were
+// dropped.
 func (g *Gateway) logResponse(q *request, rel *relay) {
 	telemetry.Count("merlinpost_gateway_answers_total", "class", q.route.Name, "status", strconv.Itoa(rel.status))
 	if rel.events > 0 {
 		g.responseTime(q.route.Name).Observe(g.now().Sub(q.start)-rel.timeToFirstEvent, q.info.Prompt.OutputTokens)
 	}
 	sampledOut := rel.status < http.StatusBadRequest && len(q.sends) == 1 && !decisionlog.Sampled(q.info.ID, g.settings.Load().LogOneIn)
-	if sampledOut && !(q.hasNotices() && g.logLimiter.Allow("notice", g.now())) {
+	if sampledOut && !(q.hasNotices() && g.logLimiter.Allow("notice", g.now())) && !(q.hasDropped() && g.logLimiter.Allow("dropped response", g.now())) {
 		return
 	}
 	g.logger.Info("request completed", append(g.logFields(q),
--- a/internal/gateway/gateway_suite_test.go
+++ b/internal/gateway/gateway_suite_test.go
@@ -21,6 +21,7 @@
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/retrybudget"
 	"github.com/merlinpost/merlinpost/internal/routing"
+	"github.com/merlinpost/merlinpost/internal/standin/scripted"
 	"github.com/merlinpost/merlinpost/internal/standin/worker"
 	"github.com/merlinpost/merlinpost/platform"
 )
@@ -119,6 +120,27 @@
 	return h
 }
 
+// scriptedHarness returns a harness in front of servers that follow a script.
+func scriptedHarness(t *testing.T, servers int, script scripted.Script) (*harness, []*scripted.Server) {
+	RegisterTestingT(t)
+	h := &harness{client: http.DefaultClient, servers: registry.New()}
+	var started []*scripted.Server
+	var list []registry.Server
+	for i := range servers {
+		s, err := scripted.Start(fmt.Sprint("i-", i), script)
+		Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(s.Close)
+		started = append(started, s)
+		list = append(list, registry.Server{ID: s.ID(), Service: "s", Address: s.Address(), Slots: 8})
+	}
+	h.servers.Replace(list, time.Now(), time.Time{})
+	h.gateway = gateway.New(gateway.Settings{Retries: ampleRetries, LogOneIn: 1}, platform.Dialect{}, h.servers, slog.New(slog.NewJSONHandler(&h.log, nil)))
+	Expect(h.gateway.SetTable(table(), time.Now())).To(BeTrue())
+	h.server = httptest.NewServer(h.gateway)
+	t.Cleanup(h.server.Close)
+	return h, started
+}
+
 // startHarness returns a harness whose gateway has the test configuration.
 func startHarness(workers int) *harness { return startHarnessWith(ampleRetries, workers) }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -31,7 +31,7 @@
 // relayResponse reads the server's response and relays it to the caller. Refusals, and failures that are to be
 // retried or reported as errors, are not relayed.
 func (g *Gateway) relayResponse(ctx context.Context, q *request, server registry.Server, rel *relay, resp *exchange.Response, info ResponseInfo, meter *streamMeter) (sendResult, error) {
-	if info.NotRun || resp.Status == http.StatusMisdirectedRequest {
+	if resp.Proof(info.NotRun) != "" {
 		return refusalError(resp)
 	}
 	if resp.Status/100 == 2 && !info.Sealed {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -43,6 +44,7 @@
 	deadline      time.Time // the caller's deadline or the route's timeout, whichever is earlier
 	priority      int
 	sends         []sendRecord
+	attempt       exchange.Attempt
 	// retryDecision is the most recent decision of the retry budget, made at retryDecidedAt.
 	retryDecision      retrybudget.Decision
 	retryDecidedAt     time.Time
@@ -82,14 +84,17 @@
 // sendRecord is an entry of the "sends" attribute in a request's log line. It describes one send of the request to a
 // server or, if it has no server, a refused permit request.
 type sendRecord struct {
-	Server           string        `json:"server"`
-	Reason           string        `json:"reason"` // why the server was chosen
-	FetchFrom        string        `json:"fetch,omitempty"`
-	Result           string        `json:"result"`
-	Cause            string        `json:"cause,omitempty"`
-	Wait             time.Duration `json:"wait,omitempty"`   // estimated wait for capacity, from the gateway that refused the permit
-	ExpectedPrefill  time.Duration `json:"expect,omitempty"` // predicted time to the first event
-	TimeToFirstEvent time.Duration `json:"first,omitempty"`  // measured time to the first event
+	Server    string `json:"server"`
+	Reason    string `json:"reason"` // why the server was chosen
+	FetchFrom string `json:"fetch,omitempty"`
+	Result    string `json:"result"`
+	exchange.Send
+	// Proof is what proves that the send did not run, or empty if it may have run.
+	Proof            exchange.Proof `json:"proof,omitempty"`
+	Cause            string         `json:"cause,omitempty"`
+	Wait             time.Duration  `json:"wait,omitempty"`   // estimated wait for capacity, from the gateway that refused the permit
+	ExpectedPrefill  time.Duration  `json:"expect,omitempty"` // predicted time to the first event
+	TimeToFirstEvent time.Duration  `json:"first,omitempty"`  // measured time to the first event
 	// RateLimitedServers is the number of servers that had reached their stated rate limits when a permit was refused.
 	RateLimitedServers int `json:"limited,omitempty"`
 	// ServersInBackoff and PrefillingServers are the numbers of servers that got no requests because of failures, and
@@ -128,6 +133,11 @@
 	return &sendRecord{}
 }
 
+// hasDropped reports whether responses were dropped that belong to no send of the request.
+func (q *request) hasDropped() bool {
+	return slices.ContainsFunc(q.attempt.Sends, func(s *exchange.Send) bool { return s.Dropped.Count > 0 })
+}
+
 // retryDenied reports whether the retry budget denied a retry after the last send.
 func (q *request) retryDenied() bool {
 	d := q.lastSend().RetryDecision
