Exchange: a response belongs to one send, not to one attempt

A request that may run once ran twice, or was answered 429 though it had run, when a server sent a copy of its rejection late, at the point where the answer to the next request of the connection is expected.

Cause: a response was bound to a send by its position on the connection and the ID of the attempt, which all sends of the attempt have in common; the retry prefers the connection that has just carried the rejection. A response without ID was the answer to anything. A conclusion from one sign that another event can produce as well.

A send does not use a connection that has carried an earlier send of its attempt. A response without the ID, with several, or whose header contains a second status line belongs to no request; it is skipped if the answer may follow, also if it announces a close or comes in chunks. On a new connection a response without ID fails the send at once. A request without ID goes on a connection of its own. No response is read after a write of which nothing was sent. Requests of other attempts use the connection of a rejection as before, so overload opens no more connections.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -1,6 +1,9 @@
 package exchange
 
-import "net/http"
+import (
+	"net/http"
+	"slices"
+)
 
 // Attempt is one attempt of a caller. Its sends have the same ID, also in the responses of the servers. It must not be
 // used concurrently.
@@ -27,6 +30,11 @@
 	return s
 }
 
+// used reports whether an earlier send of the attempt, which may be nil, went on a connection.
+func (a *Attempt) used(c *conn) bool {
+	return a != nil && slices.ContainsFunc(a.Sends, func(s *Send) bool { return s.Connection == c.id })
+}
+
 // Last returns the last send of the attempt, or an empty one if there is none.
 func (a *Attempt) Last() *Send {
 	if len(a.Sends) == 0 {
@@ -54,7 +62,11 @@
 type DropReason string
 
 // The reasons to drop a response.
-const otherID DropReason = "other_id"
+const (
+	noID      DropReason = "no_id"
+	otherID   DropReason = "other_id"
+	malformed DropReason = "malformed" // several IDs, or two headers merged into one
+)
 
 // maxLoggedIDLength limits the length of an ID in a DroppedResponse, which a server chooses.
 const maxLoggedIDLength = 40
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -24,15 +24,15 @@
 	Body   []byte
 	// HasBody distinguishes an empty body from none.
 	HasBody bool
-	// EchoHeader names the response header in which the server returns EchoID. A
-	// response with another value belongs to another request.
+	// EchoHeader names the response header in which the server returns EchoID.
 	EchoHeader string
 	EchoID     string
 	// MayRepeat is set if the request may be sent again. It may then use a
 	// connection that has been idle for longer: if the server closes the
 	// connection at the same time, the only cost is a retry.
 	MayRepeat bool
-	// Attempt is the caller's attempt that the request belongs to. Do adds a Send to it.
+	// Attempt is the caller's attempt that the request belongs to. Do adds a Send to it, and does not use the
+	// connections of its earlier sends.
 	Attempt *Attempt
 }
 
@@ -170,19 +170,15 @@
 	c.close()
 }
 
-// maxMismatchedResponses is the number of responses to other requests that are
-// skipped before the exchange fails.
-const maxMismatchedResponses = 2
-
-// errResponseMismatch is returned for a response that has another request's ID.
-var errResponseMismatch = errors.New("response belongs to another request")
+// errResponseMismatch is returned for a response that does not belong to the send and is not followed by one that does.
+var errResponseMismatch = errors.New("the response does not belong to the request")
 
 // Do sends the request to the address and returns the response header. The
 // connection is closed if ctx ends before the response is closed. Errors are of
 // type *Error.
 func (p *Pool) Do(ctx context.Context, address string, req *Request) (*Response, error) {
 	send := req.Attempt.begin()
-	c, err := p.get(ctx, address, req.MayRepeat)
+	c, err := p.get(ctx, address, req)
 	if err != nil {
 		return nil, &Error{Stage: Connecting, Err: err}
 	}
@@ -206,23 +202,27 @@
 
 // roundTrip writes the request and reads the response header.
 func (c *conn) roundTrip(req *Request) (*http.Response, error) {
-	if err := c.writeRequest(req); err != nil {
-		// The server may have sent a response before it closed the connection.
-		if resp, readErr := c.readResponseHeader(req); readErr == nil {
-			resp.Close = true
-			return resp, nil
-		}
-		return nil, err
+	err := c.writeRequest(req)
+	var failed *Error
+	if errors.As(err, &failed) && !failed.MayHaveRun {
+		return nil, err // no response can belong to a request of which nothing was sent
+	}
+	resp, readErr := c.readResponseHeader(req)
+	switch {
+	case err == nil:
+		return resp, readErr
+	case readErr == nil: // sent before the server closed the connection
+		resp.Close = true
+		return resp, nil
 	}
-	return c.readResponseHeader(req)
+	return nil, err
 }
 
-// readResponseHeader reads the response header of the request. It skips
-// informational responses and a few responses to other requests, which count
-// towards the limits of the header.
+// readResponseHeader reads the response header of the request. It skips informational responses and responses that do
+// not belong to the send, which count towards the limits of the header.
 func (c *conn) readResponseHeader(req *Request) (*http.Response, error) {
 	c.overhead.reset()
-	for skipped := 0; ; {
+	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, &Error{Stage: Waiting, MayHaveRun: true, Err: err}
@@ -230,13 +230,12 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		echo := resp.Header.Get(req.EchoHeader)
-		if echo == "" || echo == req.EchoID {
+		reason := c.checkResponse(resp, req)
+		if reason == "" {
 			return resp, nil
 		}
-		c.drop(resp, otherID)
-		skipped++
-		if skipped > maxMismatchedResponses || resp.Close || resp.ContentLength < 0 {
+		c.drop(resp, reason)
+		if !c.mayFollow(resp, reason) {
 			return nil, &Error{Stage: Mismatched, MayHaveRun: true, Err: errResponseMismatch}
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -101,9 +102,9 @@
 var lastConnID atomic.Uint64
 
 // get returns a usable idle connection or opens a new one.
-func (p *Pool) get(ctx context.Context, address string, mayRepeat bool) (*conn, error) {
+func (p *Pool) get(ctx context.Context, address string, req *Request) (*conn, error) {
 	for {
-		c := p.takeIdle(address, mayRepeat)
+		c := p.takeIdle(address, req)
 		if c == nil {
 			break
 		}
@@ -127,20 +128,22 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection to an
-// address, or nil if there is none or it has been idle for too long.
-func (p *Pool) takeIdle(address string, mayRepeat bool) *conn {
+// address that the request may use, or nil if there is none.
+func (p *Pool) takeIdle(address string, req *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	c, now := list[len(list)-1], p.now()
-	if now.After(c.reusableUntil) || (!mayRepeat && now.Sub(c.idleSince) > maxIdleNonRepeatable) {
-		return nil
+	list, now := p.idle[address], p.now()
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if now.After(c.reusableUntil) || (!req.MayRepeat && now.Sub(c.idleSince) > maxIdleNonRepeatable) {
+			return nil
+		}
+		if req.reusable(c) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // putIdle returns a connection to the pool. serverTimeout is the keep-alive
