Exchange: a late response that is cut inside its body must not swallow the answer

The mechanism is shown by the test.

Cause: the body of a dropped response was skipped unseen.

Change: a skipped body that contains a status line has merged with the next response, which may be the answer: the send fails and may have run.

TestAnAnswerThatMergesWithACutBodyIsNotSkipped, which cuts two late responses at every byte, failed before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -238,7 +238,7 @@
 		if !c.mayFollow(resp, reason) {
 			return nil, &Error{Stage: Mismatched, MayHaveRun: true, Err: errResponseMismatch}
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := skipBody(resp.Body); err != nil {
 			return nil, &Error{Stage: Mismatched, MayHaveRun: true, Err: err}
 		}
 	}
--- a/internal/exchange/proof.go
+++ b/internal/exchange/proof.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"errors"
+	"io"
 	"net/http"
 	"regexp"
 	"slices"
@@ -99,6 +101,38 @@
 // statusLine matches the start of a status line, of statusLineBytes bytes.
 var statusLine = regexp.MustCompile(`HTTP/1\.. [0-9]{3}`)
 
+const statusLineBytes = len("HTTP/1.1 200")
+
+// skipBody reads the body of a response that does not belong to the send. It fails if the body contains a status line: a
+// response that is cut inside its body swallows the one that follows, which may be the response to the send.
+func skipBody(body io.Reader) error {
+	var finder statusLineFinder
+	if _, err := io.Copy(&finder, body); err != nil {
+		return err
+	}
+	if finder.found {
+		return errSplicedBody
+	}
+	return nil
+}
+
+// errSplicedBody is the error of a skipped body that contains a status line.
+var errSplicedBody = errors.New("a response was cut inside its body and merged with the next one")
+
+// statusLineFinder finds a status line in what is written to it.
+type statusLineFinder struct {
+	window []byte // the end of what precedes, and the data of the current write
+	found  bool
+}
+
+// Write implements io.Writer.
+func (f *statusLineFinder) Write(p []byte) (int, error) {
+	f.window = append(f.window, p...)
+	f.found = f.found || statusLine.Match(f.window)
+	f.window = append(f.window[:0], f.window[max(0, len(f.window)-statusLineBytes+1):]...)
+	return len(p), nil
+}
+
 // mayFollow reports whether the response to the current send may follow one that was dropped. On a new connection, a
 // response without an ID is not a late one: the server does not return IDs.
 func (c *conn) mayFollow(resp *http.Response, reason DropReason) bool {
--- a/internal/exchange/proof_test.go
+++ b/internal/exchange/proof_test.go
@@ -140,6 +140,47 @@
 	}
 }
 
+// Guards against taking for a rejection what follows the answer, when a late copy that is cut inside its body has swallowed
+// the answer.
+func TestAnAnswerThatMergesWithACutBodyIsNotSkipped(t *testing.T) {
+	const stream, chunk = "Transfer-Encoding: chunked\r\n\r\n", "40\r\n0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\r\n0\r\n\r\n"
+	const length = "Content-Length: 100\r\n\r\n0123456789"
+	answer := "HTTP/1.1 200 OK\r\nX-Attempt-Id: b\r\n" + stream + chunk
+	rejection := "HTTP/1.1 408 Request Timeout\r\nX-Attempt-Id: b\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, late := range []string{"HTTP/1.1 400 Bad Request\r\n" + stream + chunk, "HTTP/1.1 400 Bad Request\r\nX-Attempt-Id: a\r\n" + length} {
+		for cut := 1; cut < len(late); cut++ {
+			for filler := range len(answer) { // moves the end of what the cut body swallows over all of the answer
+				text := late[:cut] + strings.Replace(answer, "OK", "OK"+strings.Repeat("x", filler), 1) + rejection
+				resp, err := respondWith(text)
+				if err == nil && resp.Proof(resp.Header.Get("X-Not-Executed") != "") != "" {
+					t.Fatalf("%q is taken as proof", text)
+				}
+			}
+		}
+	}
+}
+
+// respondWith returns the response to request b on a connection that is used again, on which the server sends a text.
+func respondWith(text string) (*Response, error) {
+	c := newConn(replay{text: strings.NewReader(text)}, "")
+	c.exchanges, c.dropped, c.echoHeader = 2, &Dropped{}, "X-Attempt-Id"
+	resp, err := c.roundTrip(limitsRequest("b"))
+	if err != nil {
+		return nil, err
+	}
+	return &Response{Status: resp.StatusCode, Header: resp.Header}, nil
+}
+
+// replay is a connection on which a text arrives.
+type replay struct {
+	net.Conn
+	text io.Reader
+}
+
+func (r replay) Read(p []byte) (int, error) { return r.text.Read(p) }
+
+func (replay) Write(p []byte) (int, error) { return len(p), nil }
+
 // Guards against refusing responses with header values that only resemble a status line.
 func TestStatusLinesInHeaders(t *testing.T) {
 	g := NewWithT(t)
