Gateway: a route that becomes one of requests that run once is not repeated by the older configuration

Cause: whether a request may be repeated was decided by the configuration with which it was admitted.

Change: the active configuration must permit it as well. A route that it no longer has is unchanged.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -78,7 +79,7 @@
 		if result == notRun && ran > 0 {
 			last = fault.New(fault.LinkLost, "a previous server may have run the request: %w", err).WithOutcome(fault.Unknown)
 		}
-		if !mayRetry(q, rel, result) {
+		if !g.mayRetry(q, rel, result) {
 			return last
 		}
 	}
@@ -126,18 +127,26 @@
 }
 
 // mayRetry reports whether the route permits a retry after a send with this result.
-func mayRetry(q *request, rel *relay, result sendResult) bool {
+func (g *Gateway) mayRetry(q *request, rel *relay, result sendResult) bool {
 	switch result {
 	case notRun:
 		return true
 	case mayHaveRun:
-		return q.route.MayRepeat()
+		return g.mayRepeat(q)
 	case truncated:
-		return q.route.Resumable && rel.canResume()
+		return q.route.Resumable && rel.canResume() && g.mayRepeat(q)
 	}
 	return false
 }
 
+// mayRepeat reports whether the request may run more than once, both by the configuration with which it was admitted and
+// by the active one. A route that the active configuration does not have is unchanged in this respect.
+func (g *Gateway) mayRepeat(q *request) bool {
+	path, _, _ := strings.Cut(q.target, "?")
+	active := g.table.Load().Route(q.host, path)
+	return q.route.MayRepeat() && (active == nil || active.MayRepeat())
+}
+
 // checkRetry checks the deadline and, before a retry, the limits on sends and the retry
 // budget. attempt is the number of previous attempts, ran is the number of servers that may
 // have run the request, and last is the error of the previous send. A non-nil error is the
