Agent: a completion request goes on a connection of its own

A late copy of an engine's refusal was taken for the response to the next request on the connection: that request was told not run, and offered elsewhere, while the engine ran it.

Engines return no IDs, so nothing but the connection tells late responses apart.

Change: the client for completions does not keep connections; the engine is on the same host, so a connection costs no round trip over the network. It does not announce the close, as some servers then do not notice that a client disconnects. Other requests reuse connections as before.

TestALateCopyOfARefusalIsNotTheNextResponse failed before.

--- a/internal/agent/calls_test.go
+++ b/internal/agent/calls_test.go
@@ -1,8 +1,11 @@
 package agent
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -119,6 +122,48 @@
 	}
 }
 
+// Guards against taking a late copy of an engine's refusal for the response to the next request, which then runs twice.
+func TestALateCopyOfARefusalIsNotTheNextResponse(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	const stream = "data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n"
+	var requests atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in, late := bufio.NewReader(c), ""
+				for {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body) // an error shows up in the next read
+					answer := fmt.Sprintf("%sHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", late, len(stream), stream)
+					if requests.Add(1) == 1 {
+						answer, late = refusal, refusal
+					}
+					if _, err := io.WriteString(c, answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	c := newEngineClient(settings.Server{Address: l.Addr().String(), Slots: 4, StallMS: 300})
+	_, e := c.generate(t.Context(), newEngineRun(`{"prompt":"p"}`), func([]byte) {})
+	g.Expect(e.Outcome).To(Equal(fault.NotRun))
+	_, e = c.generate(t.Context(), newEngineRun(`{"prompt":"p"}`), func([]byte) {})
+	g.Expect(e).To(BeNil(), "the request ran")
+}
+
 // Guards against completing a run whose engine broke off, wherever that happened and however the response was framed.
 func TestEngineStreamsThatAreCutFail(t *testing.T) {
 	const whole = "data: {\"choices\":[{\"text\":\"a\"}]}\r\n\r\ndata: {\"choices\":[{\"text\":\"b\"}]}\n\ndata: [DONE]"
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -23,7 +23,10 @@
 type engineClient struct {
 	baseURL      string
 	stallTimeout time.Duration
-	http         *http.Client
+	// completions opens a new connection for each request. Engines don't return the ID of a request, so that nothing else
+	// distinguishes the response to a request from a late one to an earlier request.
+	completions *http.Client
+	http        *http.Client // for all other requests
 }
 
 // maxEventBytes limits a line of the engine's event stream, and the list of loaded
@@ -32,7 +35,9 @@
 
 func newEngineClient(cfg settings.Server) *engineClient {
 	return &engineClient{baseURL: "http://" + cfg.Address, stallTimeout: settings.Millis(cfg.StallMS),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots, DisableCompression: true}}}
+		// DisableKeepAlives would announce the close, after which some servers do not notice that a client disconnects.
+		completions: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: -1, DisableCompression: true}},
+		http:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots, DisableCompression: true}}}
 }
 
 // completionRequestBody returns the caller's body with the fields that the agent sets
@@ -101,7 +106,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req, sent := httpsent.Trace(req)
-	resp, err := c.http.Do(req)
+	resp, err := c.completions.Do(req)
 	if err != nil {
 		outcome := fault.Unknown
 		if !sent.Load() {
