Gateway: a server is disconnected before a request that it failed goes on elsewhere

A gateway read the rest of a failure in the background for up to 200 ms, to keep the connection, while the next server had begun; 930 ms were seen once beside load.

Cause: Discard treated the failure of a run like a rejection, whose server does not work on it.

Change: DiscardRun keeps the connection only if the whole response has arrived, and closes it otherwise, before the request is sent again.

TestADiscardedRunIsDisconnectedUnlessItsResponseHasArrived failed before. TestDrawnResponsesDoNotRunARequestTwice, which comes with this commit, plays drawn rejections, copies and failures at 1 to 3 servers and 1 to 12 gateways on all kinds of routes, and checks runs, answers and overlaps by ID; seeds and sends are flags.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -133,7 +133,7 @@
 	rest := *r
 	r.conn = nil
 	rest.detachContext = func() bool { return true }
-	if rest.Framing == FramedByLength && rest.Length <= int64(rest.conn.reader.Buffered()) {
+	if rest.arrived() {
 		rest.discard()
 		return
 	}
@@ -144,6 +144,21 @@
 	go rest.discard()
 }
 
+// DiscardRun is like Discard, but closes the connection if the body has not arrived yet, so that the server stops working
+// on the request.
+func (r *Response) DiscardRun() {
+	if r.conn != nil && r.arrived() {
+		r.Discard()
+		return
+	}
+	r.Close()
+}
+
+// arrived reports whether the whole body is known to have arrived.
+func (r *Response) arrived() bool {
+	return r.Framing == FramedByLength && r.Length <= int64(r.conn.reader.Buffered())
+}
+
 // discard reads the rest of the body and ends the exchange.
 func (r *Response) discard() {
 	_, err := io.CopyN(io.Discard, r, maxDiscardedBytes)
--- a/internal/exchange/proof_test.go
+++ b/internal/exchange/proof_test.go
@@ -207,3 +207,25 @@
 type unwritable struct{ net.Conn }
 
 func (unwritable) Write([]byte) (int, error) { return 0, net.ErrClosed }
+
+// Guards against a server that still works on a run when the request is sent again, and against the loss of a connection
+// whose response has arrived.
+func TestADiscardedRunIsDisconnectedUnlessItsResponseHasArrived(t *testing.T) {
+	for _, ending := range []scripted.Ending{scripted.KeepOpen, scripted.WorkOn} {
+		g := NewWithT(t)
+		server, pool := startScripted(t, func(scripted.Arrival) scripted.Step {
+			return scripted.Step{Runs: true, Status: http.StatusInternalServerError, Ending: ending}
+		})
+		resp, err := pool.Do(t.Context(), server.Address(), limitsRequest("a"))
+		g.Expect(err).NotTo(HaveOccurred())
+		resp.DiscardRun()
+		if ending == scripted.WorkOn {
+			g.Expect(pool.idle).To(BeEmpty())
+			g.Expect(server.WorksOn("a", time.Now())).To(BeFalse())
+			continue
+		}
+		_, _, err = sendAttempt(t, pool, server.Address(), "b", nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(server.ConnectionCount()).To(Equal(1))
+	}
+}
--- /dev/null
+++ b/internal/gateway/proof_test.go
@@ -0,0 +1,387 @@
+package gateway_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/merlinpost/merlinpost/internal/exchange"
+	"github.com/merlinpost/merlinpost/internal/gateway"
+	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/internal/routing"
+	"github.com/merlinpost/merlinpost/internal/standin/scripted"
+	"github.com/merlinpost/merlinpost/internal/standin/worker"
+	"github.com/merlinpost/merlinpost/platform"
+)
+
+var (
+	drawnSends = flag.Int("drawn-sends", 20_000, "sends of the test with drawn responses")
+	drawnSeed  = flag.Uint64("drawn-seed", 1, "seed of the test with drawn responses")
+)
+
+const (
+	drawnEvents = 4
+	// drawnRequests is the number of requests in a case.
+	drawnRequests = 600
+	drawnTimeout  = 2 * time.Second
+	drawnCallers  = 24
+	// drawnParallel is the number of cases that are played at the same time. Most of their time is waiting.
+	drawnParallel = 8
+)
+
+// drawnRoutes are routes of all kinds.
+var drawnRoutes = []routing.Route{
+	{Name: "once", PathPrefix: "/once/", Kind: routing.NonIdempotent, MaxAttempts: 1},
+	{Name: "again", PathPrefix: "/again/", Kind: routing.Idempotent, MaxAttempts: 3},
+	{Name: "stream", PathPrefix: "/stream/", Kind: routing.Streaming, MaxAttempts: 1, PrefixAffinity: true},
+	{Name: "resume", PathPrefix: "/resume/", Kind: routing.Streaming, Resumable: true, MaxAttempts: 3, PrefixAffinity: true},
+}
+
+// drawnCase is a set of gateways in front of servers that respond at random.
+type drawnCase struct {
+	servers []*scripted.Server
+	fronts  []*httptest.Server
+	logs    []*logBuffer
+
+	mu   sync.Mutex
+	rand *rand.Rand
+	// rejects, copies and fails are the shares of requests that are rejected, of responses that are sent again, and of
+	// exchanges that fail.
+	rejects, copies, fails float64
+	responses              []drawnResponse
+	// signs describes what the servers do with a request, by its ID. It may be nil.
+	signs    map[string]string
+	overlaps overlapCheck
+}
+
+// drawnResponse is what a caller got.
+type drawnResponse struct {
+	route  routing.Route
+	id     string
+	status int
+	body   string
+	err    error
+	took   time.Duration
+}
+
+// Guards against running a request twice that may run once, reporting a request that ran as not run, delivering the
+// response to another request and losing a complete response, whatever servers send.
+func TestDrawnResponsesDoNotRunARequestTwice(t *testing.T) {
+	RegisterTestingT(t)
+	var sends, next atomic.Int64
+	next.Store(int64(*drawnSeed))
+	var cases sync.WaitGroup
+	for range drawnParallel {
+		cases.Go(func() {
+			for sends.Load() < int64(*drawnSends) && !t.Failed() {
+				sends.Add(int64(playDrawnCase(t, uint64(next.Add(1)-1))))
+			}
+		})
+	}
+	cases.Wait()
+	t.Logf("%d sends, seeds %d to %d", sends.Load(), *drawnSeed, next.Load()-1)
+}
+
+// playDrawnCase plays the case with a seed and returns the number of sends.
+func playDrawnCase(t *testing.T, seed uint64) (sends int) {
+	c := &drawnCase{rand: rand.New(rand.NewPCG(seed, 0))}
+	c.rejects, c.copies, c.fails = c.rand.Float64()*0.5, c.rand.Float64(), c.rand.Float64()*0.3
+	for i := range 1 + c.rand.IntN(3) {
+		s, err := scripted.Start(fmt.Sprintf("i-%d", i), c.overlaps.watch(c.allServers, c.draw))
+		Expect(err).NotTo(HaveOccurred())
+		defer s.Close()
+		c.servers = append(c.servers, s)
+	}
+	registries := c.startGateways(1 + c.rand.IntN(12))
+	for _, front := range c.fronts {
+		defer front.Close()
+	}
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: drawnCallers}}
+	defer client.CloseIdleConnections()
+	ctx, cancel := context.WithCancel(t.Context())
+	var restarts, callers sync.WaitGroup
+	restarts.Go(func() { c.restartServers(ctx, registries) })
+	for caller := range drawnCallers {
+		callers.Go(func() {
+			r := rand.New(rand.NewPCG(seed, uint64(1+caller)))
+			for n := range drawnRequests / drawnCallers {
+				route := drawnRoutes[r.IntN(len(drawnRoutes))]
+				c.request(client, c.fronts[r.IntN(len(c.fronts))], route, fmt.Sprintf("%s-%d-%d-%d", route.Name, seed, caller, n))
+			}
+		})
+	}
+	callers.Wait()
+	cancel()
+	restarts.Wait()
+	c.check(t, seed)
+	for _, s := range c.servers {
+		sends += s.ArrivalCount()
+	}
+	return sends
+}
+
+// startGateways starts gateways and returns their server lists.
+func (c *drawnCase) startGateways(n int) []*registry.Registry {
+	contents := routing.Config{Version: 1, Limits: routing.Limits{BodyBytes: 1000, HeaderBytes: 2000}, Teams: map[string]*routing.Team{"key": {Name: "team"}}}
+	for _, route := range drawnRoutes {
+		route.Host, route.Timeout, route.Targets = "a.example", drawnTimeout, []routing.Target{{Service: "s", Weight: 1}}
+		contents.Routes = append(contents.Routes, route)
+	}
+	table, err := routing.New(contents)
+	Expect(err).NotTo(HaveOccurred())
+	var registries []*registry.Registry
+	for range n {
+		servers, log := registry.New(), &logBuffer{}
+		g := gateway.New(gateway.Settings{Retries: ampleRetries, LogOneIn: 1}, platform.Dialect{}, servers, slog.New(slog.NewJSONHandler(log, nil)))
+		Expect(g.SetTable(table, time.Now())).To(BeTrue())
+		servers.Replace(c.serverList(), time.Now(), time.Time{})
+		c.fronts, c.logs, registries = append(c.fronts, httptest.NewServer(g)), append(c.logs, log), append(registries, servers)
+	}
+	return registries
+}
+
+func (c *drawnCase) allServers() []*scripted.Server { return c.servers }
+
+func (c *drawnCase) serverList() []registry.Server {
+	var list []registry.Server
+	for _, s := range c.servers {
+		list = append(list, registry.Server{ID: s.ID(), Service: "s", Address: s.Address(), Slots: 64})
+	}
+	return list
+}
+
+// restartServers replaces servers by others at the same addresses from time to time, which the gateways hear later.
+func (c *drawnCase) restartServers(ctx context.Context, registries []*registry.Registry) {
+	for n := 0; ctx.Err() == nil; n++ {
+		c.mu.Lock()
+		pause, i := time.Duration(20+c.rand.IntN(300))*time.Millisecond, c.rand.IntN(len(c.servers))
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		c.servers[i].Crash(fmt.Sprintf("i-%d-%d", i, n))
+		time.Sleep(pause / 20)
+		for _, r := range registries {
+			r.Replace(c.serverList(), time.Now(), time.Time{})
+		}
+	}
+}
+
+// request sends a request and records the response.
+func (c *drawnCase) request(client *http.Client, front *httptest.Server, route routing.Route, id string) {
+	req, err := http.NewRequest(http.MethodPost, front.URL+route.PathPrefix, strings.NewReader("body of "+id))
+	if err != nil {
+		panic(err) // the URL is that of a test server
+	}
+	req.Host = "a.example"
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("Api-Key", "key")
+	out, start := drawnResponse{route: route, id: id}, time.Now()
+	resp, err := client.Do(req)
+	if err == nil {
+		var text []byte
+		text, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		out.status, out.body = resp.StatusCode, string(text)
+	}
+	out.err, out.took = err, time.Since(start)
+	c.mu.Lock()
+	c.responses = append(c.responses, out)
+	c.mu.Unlock()
+}
+
+// check compares what callers got with what the servers ran.
+func (c *drawnCase) check(t *testing.T, seed uint64) {
+	for _, r := range c.responses {
+		runs, answered := 0, false
+		for _, s := range c.servers {
+			runs += s.RunsOf(r.id)
+			answered = answered || s.Answered(r.id)
+		}
+		violation := r.violation(runs, answered)
+		if violation == "" && c.overlaps.of(r.id) {
+			violation = "a server still worked on it after another one had begun"
+		}
+		if violation != "" {
+			t.Errorf("seed %d: %s %s: %s (status %d, %d runs, body %q, error %v)\n%s", seed, r.id, c.signs[r.id], violation, r.status, runs, r.body, r.err, c.logOf(r.id))
+		}
+	}
+}
+
+// mostOverlap is how long a server may still work on a request after another server has begun to.
+const mostOverlap = 400 * time.Millisecond
+
+// overlapCheck finds requests that go on at a server while the one before still works on them.
+type overlapCheck struct {
+	checks sync.WaitGroup
+	mu     sync.Mutex
+	found  map[string]bool // by request ID
+}
+
+// watch returns the script, which checks at each run whether one of the servers goes on with an earlier run.
+func (o *overlapCheck) watch(servers func() []*scripted.Server, script scripted.Script) scripted.Script {
+	return func(a scripted.Arrival) scripted.Step {
+		step, now := script(a), time.Now()
+		if step.Runs {
+			o.checks.Go(func() {
+				time.Sleep(mostOverlap)
+				for _, s := range servers() {
+					if s.WorksOn(a.ID, now) {
+						o.add(a.ID)
+					}
+				}
+			})
+		}
+		return step
+	}
+}
+
+func (o *overlapCheck) add(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.found == nil {
+		o.found = map[string]bool{}
+	}
+	o.found[id] = true
+}
+
+// of waits for the checks that are in progress, and reports whether a request was found.
+func (o *overlapCheck) of(id string) bool {
+	o.checks.Wait()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.found[id]
+}
+
+// violation returns the guarantee that a response violates. answered tells whether a server has sent a complete answer.
+func (r drawnResponse) violation(runs int, answered bool) string {
+	want := worker.ResponseBody(r.id)
+	if r.route.Kind == routing.Streaming {
+		want = worker.StreamBody(r.id, drawnEvents)
+	}
+	delivered := r.status == http.StatusOK && r.err == nil
+	switch {
+	case runs > 1 && !r.route.MayRepeat():
+		return "ran twice"
+	case runs > 0 && exchange.PromisesNotRun(r.status):
+		return "told not run though run"
+	case delivered && r.body != want:
+		return "another body than its own"
+	case answered && !delivered && r.took < drawnTimeout:
+		return "a complete answer was lost"
+	}
+	return ""
+}
+
+// logOf returns the log lines about a request.
+func (c *drawnCase) logOf(id string) string {
+	var out []string
+	for _, log := range c.logs {
+		for _, line := range strings.Split(log.String(), "\n") {
+			if strings.Contains(line, `"id":"`+id+`"`) {
+				out = append(out, line)
+			}
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
+// statuses with which servers reject requests, and those of runs that failed.
+var (
+	rejectionStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusRequestTimeout, http.StatusBadRequest}
+	failureStatuses   = []int{http.StatusInternalServerError, http.StatusGatewayTimeout, http.StatusServiceUnavailable, http.StatusTooManyRequests,
+		http.StatusRequestTimeout, http.StatusBadRequest}
+)
+
+// isStream reports whether the response to a request is a stream.
+func isStream(id string) bool {
+	return strings.HasPrefix(id, "stream") || strings.HasPrefix(id, "resume")
+}
+
+// draw returns what a server does with a request.
+func (c *drawnCase) draw(a scripted.Arrival) scripted.Step {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.rand
+	s := scripted.Step{Runs: true, Status: http.StatusOK, Delay: time.Duration(r.IntN(3000)) * time.Microsecond}
+	if isStream(a.ID) {
+		s.Events = drawnEvents
+	}
+	switch p := r.Float64(); {
+	case p < c.rejects:
+		s.Runs, s.Status, s.NotExecuted = false, rejectionStatuses[r.IntN(len(rejectionStatuses))], true
+		if s.Status == http.StatusMisdirectedRequest {
+			s.NotExecuted = r.IntN(2) == 0
+		}
+	case p < c.rejects+c.fails:
+		c.drawFailure(&s)
+	}
+	for r.Float64() < c.copies && len(s.Copies) < 3 {
+		s.Copies = append(s.Copies, c.drawCopy())
+	}
+	return s
+}
+
+// drawFailure makes an exchange fail, before or after the run.
+func (c *drawnCase) drawFailure(s *scripted.Step) {
+	switch r := c.rand; r.IntN(8) {
+	case 0:
+		s.Status, s.Unsealed = failureStatuses[r.IntN(len(failureStatuses))], r.IntN(2) == 0
+	case 1:
+		s.Runs, s.Status, s.Ending = r.IntN(2) == 0, 0, []scripted.Ending{scripted.Close, scripted.Reset}[r.IntN(2)]
+	case 2:
+		s.Ending = []scripted.Ending{scripted.Close, scripted.Reset}[r.IntN(2)] // after the answer
+	case 3:
+		s.CutAfter = 1 + r.IntN(drawnEvents)
+	case 4:
+		s.OmitID = true
+	case 5:
+		s.Runs, s.Status, s.NotExecuted, s.OmitID = false, http.StatusServiceUnavailable, true, true
+	case 6:
+		if r.IntN(20) == 0 {
+			s.Ending = scripted.Silence
+		}
+	case 7:
+		c.drawEndless(s)
+	}
+}
+
+// drawEndless makes a server work until its caller disconnects, on a run whose answer can't be delivered.
+func (c *drawnCase) drawEndless(s *scripted.Step) {
+	s.Ending = []scripted.Ending{scripted.WorkOn, scripted.Garble}[c.rand.IntN(2)]
+	switch c.rand.IntN(3) {
+	case 0:
+		s.Status = failureStatuses[c.rand.IntN(len(failureStatuses))]
+	case 1:
+		s.Unsealed = true
+	case 2:
+		s.Ending, s.CutAfter = scripted.Garble, 1+c.rand.IntN(drawnEvents)
+	}
+}
+
+func (c *drawnCase) drawCopy() scripted.Copy {
+	r := c.rand
+	out := scripted.Copy{ID: []scripted.IDMode{scripted.SameID, scripted.SameID, scripted.NoID, scripted.OtherID}[r.IntN(4)], AnnounceClose: r.IntN(8) == 0,
+		AfterInformational: r.IntN(8) == 0, NotExecuted: r.IntN(2) == 0, WithBody: r.IntN(8) == 0, Chunked: r.IntN(8) == 0}
+	if r.IntN(3) == 0 {
+		out.Status = rejectionStatuses[r.IntN(len(rejectionStatuses))]
+	}
+	if r.IntN(4) == 0 {
+		out.When = []scripted.When{scripted.WithAnswer, scripted.Split, scripted.FirstHalfBeforeNext}[r.IntN(3)]
+	}
+	return out
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -44,11 +44,11 @@
 		return truncated, fault.New(fault.EngineFailed, "the server answered %d to a resumed stream", resp.Status).WithOutcome(fault.Partial)
 	}
 	if exchange.PromisesNotRun(resp.Status) {
-		resp.Discard()
+		resp.DiscardRun()
 		return mayHaveRun, fault.New(fault.EngineFailed, "the server answered %d without stating that it did not run the request", resp.Status).WithOutcome(fault.Unknown)
 	}
 	if resp.Status >= http.StatusInternalServerError && q.route.MayRepeat() && len(q.sends) == 0 && q.route.MaxAttempts > 1 {
-		resp.Discard()
+		resp.DiscardRun()
 		return mayHaveRun, fault.New(fault.EngineFailed, "the server answered %d", resp.Status).WithOutcome(fault.Unknown)
 	}
 	body := bufferedBody{held: g.memory.Response()}
