Soak: workers shed and send late copies; bodies without length are played and judged again

Workers reject some requests and send second copies of rejections and of responses late, with and without the ID of the request.

--- a/e2e/faultproxy_test.go
+++ b/e2e/faultproxy_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -22,6 +23,8 @@
 	conns     map[*proxiedConn]bool
 	delay     atomic.Int64 // nanoseconds before each read is forwarded
 	acceptErr atomic.Pointer[error]
+	// closedAt are the times of closeAll.
+	closedAt []time.Time
 }
 
 // acceptRetryDelay is the pause after a failed accept.
@@ -139,11 +142,21 @@
 
 // closeAll closes the open connections, possibly in the middle of a frame.
 func (p *faultProxy) closeAll() {
+	p.mu.Lock()
+	p.closedAt = append(p.closedAt, time.Now())
+	p.mu.Unlock()
 	for _, conn := range p.openConns() {
 		p.closeConn(conn)
 	}
 }
 
+// closedBetween reports whether closeAll was called between two times.
+func (p *faultProxy) closedBetween(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.closedAt, func(t time.Time) bool { return t.After(from) && t.Before(to) })
+}
+
 // resetAll resets the open connections on both sides; data in flight is lost.
 func (p *faultProxy) resetAll() {
 	for _, conn := range p.openConns() {
--- a/e2e/gatewaysoak_checks_test.go
+++ b/e2e/gatewaysoak_checks_test.go
@@ -22,6 +22,10 @@
 	switch {
 	case resp.err != nil:
 		return // failures that the caller notices are allowed
+	case resp.status == 200 && resp.body != wantBody(route, id) && worker.IsFiller(resp.body):
+		s.mu.Lock()
+		s.unframed[id] = resp.body
+		s.mu.Unlock()
 	case resp.status == 200 && resp.body != wantBody(route, id):
 		s.addViolation("%s got status 200 with an unexpected body: %q", id, resp.body)
 	case resp.status == 429 && strings.Contains(resp.body, `"queue_full"`):
@@ -140,6 +144,43 @@
 	return at
 }
 
+// checkUnframedBodies checks the bodies that have no length and end with their connection. Such a body is complete if the
+// worker closed the connection, and then it must be all that the worker sent. If a proxy closed the connection, a part of
+// it can't be told from the whole. In all other cases the connection was reset, and the body is incomplete.
+func (s *gatewaySoak) checkUnframedBodies() {
+	for id, body := range s.unframed {
+		if !s.isCompleteUnframed(id, body) {
+			s.addViolation("%s got status 200 with %d bytes of a body without length that is incomplete", id, len(body))
+		}
+	}
+}
+
+func (s *gatewaySoak) isCompleteUnframed(id, body string) bool {
+	for _, w := range s.workers {
+		sent, ok := w.UnframedBodies()[id]
+		if !ok {
+			continue
+		}
+		size := int64(len(body))
+		if sent.ClosedByWorker && size == sent.Bytes || size <= sent.Bytes && s.closedByProxy(w, sent) {
+			return true
+		}
+	}
+	return false
+}
+
+// closedByProxy reports whether a proxy in front of a worker closed its connections while a body was sent.
+func (s *gatewaySoak) closedByProxy(w *worker.Worker, sent worker.UnframedBody) bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	for name, proxy := range s.proxies {
+		if owner, _, _ := strings.Cut(name, " "); owner == w.ID && proxy.closedBetween(sent.Begun, sent.Ended) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkExecutions compares the requests that the workers ran with the responses that the callers got.
 func (s *gatewaySoak) checkExecutions() {
 	arrived := map[string]bool{}
--- a/e2e/gatewaysoak_faults_test.go
+++ b/e2e/gatewaysoak_faults_test.go
@@ -156,8 +156,7 @@
 		s.fleet.mu.Lock()
 		w := s.fleet.workers[rnd.IntN(len(s.fleet.workers))]
 		s.fleet.mu.Unlock()
-		// A body without length that a closed connection ends is complete by its framing, so it is left out.
-		places, events := slices.DeleteFunc(slices.Clone(worker.EndlessBodyPlaces), func(p worker.EndlessPlace) bool { return p == worker.EndlessBody }), 0
+		places, events := worker.EndlessBodyPlaces, 0
 		if serviceOfWorker(w) == llmService {
 			places, events = worker.EndlessStreamPlaces, streamEvents
 		}
@@ -171,6 +170,27 @@
 	}
 }
 
+// sendLateCopies makes a random worker shed some of its next requests for a while, and send second copies of these
+// rejections and of responses late, with and without the ID of the request.
+func (s *gatewaySoak) sendLateCopies(ctx context.Context, rnd *rand.Rand) {
+	copies := []worker.LateCopy{worker.LateCopyWithID, worker.LateCopyWithoutID}
+	for ctx.Err() == nil {
+		s.faultLock.RLock()
+		s.fleet.mu.Lock()
+		w := s.fleet.workers[rnd.IntN(len(s.fleet.workers))]
+		s.fleet.mu.Unlock()
+		kind := copies[rnd.IntN(len(copies))]
+		for range 1 + rnd.IntN(4) {
+			w.QueueBehaviours(worker.Behaviour{Reject: true, LateCopy: kind})
+			if serviceOfWorker(w) == appService && rnd.IntN(2) == 0 {
+				w.QueueBehaviours(worker.Behaviour{AbortAfterEvents: -1, LateCopy: kind})
+			}
+		}
+		s.faultLock.RUnlock()
+		sleep(ctx, time.Duration(100+rnd.IntN(300))*time.Millisecond)
+	}
+}
+
 // unusedRoutes returns a function that adds routes without traffic to a configuration.
 func unusedRoutes(n int) func(config map[string]any) {
 	return func(config map[string]any) {
--- a/e2e/gatewaysoak_test.go
+++ b/e2e/gatewaysoak_test.go
@@ -47,8 +47,9 @@
 	faultLock sync.RWMutex
 
 	mu              sync.Mutex
-	notRun          map[string]bool // requests answered with 429 or 503
-	refusedByServer map[string]bool // requests answered as refused by a server
+	notRun          map[string]bool   // requests answered with 429 or 503
+	refusedByServer map[string]bool   // requests answered as refused by a server
+	unframed        map[string]string // bodies that may be those of responses without length, by request
 	requests        []worker.Arrival
 	responses       int
 	restarts        int
@@ -112,7 +113,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &gatewaySoak{fleet: f, seed: seed, begin: time.Now(), notRun: map[string]bool{}, refusedByServer: map[string]bool{}, workers: append([]*worker.Worker(nil), f.workers...)}
+	s := &gatewaySoak{fleet: f, seed: seed, begin: time.Now(), notRun: map[string]bool{}, refusedByServer: map[string]bool{}, unframed: map[string]string{}, workers: append([]*worker.Worker(nil), f.workers...)}
 	ctx, cancel := context.WithTimeout(context.Background(), *gatewaySoakDuration)
 	defer cancel()
 	var tasks sync.WaitGroup
@@ -127,6 +128,7 @@
 	tasks.Go(func() { s.sendNotices(ctx, rand.New(rand.NewPCG(seed, 3))) })
 	tasks.Go(func() { s.breakOffResponses(ctx, rand.New(rand.NewPCG(seed, 5))) })
 	tasks.Go(func() { s.sendEndlessResponses(ctx, rand.New(rand.NewPCG(seed, 6))) })
+	tasks.Go(func() { s.sendLateCopies(ctx, rand.New(rand.NewPCG(seed, 7))) })
 	var memory []func() int
 	for _, g := range s.gateways {
 		memory = append(memory, watchMemory(g))
@@ -139,13 +141,18 @@
 	}
 	s.checkRecovery()
 	s.checkExecutions()
+	s.checkUnframedBodies()
 	s.checkRetryBudget()
 	for name, proxy := range f.proxies {
 		if err := proxy.acceptErr.Load(); err != nil {
 			t.Fatalf("seed %d: fault proxy for %s could not accept connections, results are invalid: %v", seed, name, *err)
 		}
 	}
-	t.Logf("seed %d: %d responses, %d answered as not run, %d restarts, %d drains checked", seed, s.responses, len(s.notRun), s.restarts, s.checkedDrains)
+	lateCopies := 0
+	for _, w := range s.workers {
+		lateCopies += w.LateCopyCount()
+	}
+	t.Logf("seed %d: %d responses, %d answered as not run, %d restarts, %d drains checked, %d late copies", seed, s.responses, len(s.notRun), s.restarts, s.checkedDrains, lateCopies)
 	if len(s.violations) > 0 {
 		for _, g := range f.gateways {
 			t.Logf("log of %s:\n%s", g.host, tail(g.log.String(), 200))
