Exchange: a body without length is incomplete if its request could not be written

Cause: the failed write consumes the reset of the connection, and the read then finds a plain end, which ends such a body.

Change: at that end, the writing of the request is awaited, at most 50 ms; if it failed or goes on, the body is incomplete.

TestABodyWithoutLengthIsIncompleteIfTheRequestIsNotWritten failed before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -104,18 +104,25 @@
 }
 
 // Read implements io.Reader for the body. It returns io.EOF only if the body is
-// complete, or if it is FramedByClose and the server closed the connection.
+// complete, or if it is FramedByClose and the server closed the connection after the request was written.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.raw.Body.Read(p)
 	if n > 0 && r.conn != nil {
 		r.conn.overhead.reset()
 	}
+	if err == io.EOF && r.Framing == FramedByClose && r.conn != nil && !r.conn.awaitWritten() {
+		return n, errRequestNotWritten
+	}
 	if err == io.EOF {
 		r.complete = true
 	}
 	return n, err
 }
 
+// errRequestNotWritten is returned at the end of a body that is FramedByClose if the request could not be written as a
+// whole. A write that fails consumes the reset of the connection, and reading then only finds its end.
+var errRequestNotWritten = errors.New("the connection ended before the request was written")
+
 const (
 	// discardTime and maxDiscardedBytes limit the rest of a response that Discard reads so that the connection can be
 	// reused.
@@ -397,5 +404,17 @@
 	}
 }
 
+// writeEndTimeout is how long the writing of a request may still last after the server has closed the connection.
+const writeEndTimeout = 50 * time.Millisecond
+
+// awaitWritten waits until writing the request has ended, and reports whether all of it was written.
+func (c *conn) awaitWritten() bool {
+	select {
+	case <-c.writeDone:
+	case <-time.After(writeEndTimeout):
+	}
+	return c.written()
+}
+
 // close closes the connection. It may be called repeatedly.
 func (c *conn) close() { _ = c.Conn.Close() }
