Eventstream: blank lines belong to the event that follows

A blank line that a server sent before its stream broke off was relayed as an event, and a stream that may be resumed went on behind it.

Cause: each blank line ended an event, also one without a line.

Change: blank lines before an event belong to it; at a complete end they are delivered, at a break they are no part of an event.

TestABlankLineBeforeABreakIsNotRelayed failed before.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -51,13 +51,14 @@
 	}
 	for r.Next(true) != nil {
 	}
-	return len(r.Incomplete()) > 0
+	return r.InsideEvent()
 }
 
 // Reader splits a stream into complete events. The zero value is ready for use.
 type Reader struct {
 	start   []byte // first bytes of the stream, at most maxFieldPrefix
 	pending []byte
+	blank   int // length of the prefix of pending that consists of blank lines
 	scanned int // length of the prefix of pending that contains only complete lines of an incomplete event
 	// searched is the length of the prefix of pending that is known to have no further end of a line.
 	searched int
@@ -77,8 +78,8 @@
 	r.pending = append(r.pending, p...)
 }
 
-// Next returns the next complete event, including its final blank line, or nil if there is none
-// yet. atEnd tells that no more data will be added, so that a CR at the end of the data ends a line.
+// Next returns the next complete event, including its final blank line and blank lines that precede it, or nil if there is
+// none yet. atEnd tells that no more data will be added, so that a CR at the end of the data ends a line.
 // The event is valid until the next call of Add.
 func (r *Reader) Next(atEnd bool) []byte {
 	for at := r.scanned; ; {
@@ -87,11 +88,15 @@
 			r.scanned, r.searched = at, at+length
 			return nil
 		}
+		precedesEvent := length == 0 && at == r.blank
 		at += length + ending
-		if length == 0 {
+		switch {
+		case precedesEvent:
+			r.blank = at
+		case length == 0:
 			event := r.pending[:at:at]
 			r.pending = r.pending[at:]
-			r.scanned, r.searched = 0, 0
+			r.blank, r.scanned, r.searched = 0, 0, 0
 			return event
 		}
 	}
@@ -100,6 +105,9 @@
 // Incomplete returns the data that follows the last complete event, after Next has returned nil.
 func (r *Reader) Incomplete() []byte { return r.pending }
 
+// InsideEvent reports whether the data that follows the last complete event has more than blank lines.
+func (r *Reader) InsideEvent() bool { return len(r.pending) > r.blank }
+
 // lineLength returns the lengths of the first line of data and of its ending. Its first searched
 // bytes are known to have no ending. The ending is 0 if the line is not complete; length is then
 // the number of bytes that have no ending. A CR at the end of data may be the first half of a CRLF,
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -66,6 +66,31 @@
 	}
 }
 
+// Guards against taking blank lines for an event, and against losing them.
+func TestBlankLinesBelongToTheEventThatFollows(t *testing.T) {
+	for _, ending := range []string{"\n", "\r\n", "\r"} {
+		g := NewWithT(t)
+		event := "id: 1" + ending + ending
+		stream := ending + event + event + ending + ending + event + ending
+		var parts []string
+		for i := range stream {
+			parts = append(parts, stream[i:i+1])
+		}
+		for _, received := range [][]string{{stream}, parts} {
+			events, rest := read(received...)
+			g.Expect(events).To(Equal([]string{ending + event, event, ending + ending + event}))
+			g.Expect(rest).To(Equal(ending))
+		}
+		var r Reader
+		r.Add([]byte(event + ending))
+		g.Expect(r.Next(true)).NotTo(BeNil())
+		g.Expect(r.Next(true)).To(BeNil())
+		g.Expect(r.InsideEvent()).To(BeFalse())
+		r.Add([]byte("data"))
+		g.Expect(r.InsideEvent()).To(BeTrue())
+	}
+}
+
 func TestID(t *testing.T) {
 	for event, want := range map[string]int64{"id: 12\ndata: x\n\n": 12, "data: id: 3\nid:7\r\n\r\n": 7, "data: x\rid: 5\r\r": 5} {
 		id, ok := ID([]byte(event))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,7 +83,7 @@
 	meter.recordEnd(streamEndedAfterEvent, events)
 	err := checkStreamEnd(q, rel, meter)
 	if err == nil && resp.Framing != exchange.FramedByClose {
-		rel.finishStream(resp, nil)
+		rel.finishStream(resp, events.Incomplete())
 		return delivered, nil
 	}
 	// The events are flushed before the server is probed, and because aborting the response would discard them.
@@ -99,7 +99,7 @@
 		rel.eventBegun = meter.incomplete > 0
 		return rel.streamError(ctx, err)
 	}
-	rel.finishStream(resp, nil)
+	rel.finishStream(resp, events.Incomplete())
 	return delivered, nil
 }
 
@@ -232,7 +232,10 @@
 // recordEnd records the end of the stream: streamFailed, or streamEndedAfterEvent unless the last event is incomplete
 // or there is none.
 func (m *streamMeter) recordEnd(end streamEnd, events *eventstream.Reader) {
-	m.end, m.incomplete = end, len(events.Incomplete())
+	m.end, m.incomplete = end, 0
+	if events.InsideEvent() {
+		m.incomplete = len(events.Incomplete())
+	}
 	switch {
 	case end == streamFailed:
 	case m.incomplete > 0:
--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/internal/standin/scripted"
 	"github.com/merlinpost/merlinpost/internal/standin/worker"
 )
 
@@ -35,6 +37,39 @@
 	}
 }
 
+// Guards against relaying a blank line that a server sends before its stream breaks off, and against not resuming the
+// stream because of it.
+func TestABlankLineBeforeABreakIsNotRelayed(t *testing.T) {
+	for _, blank := range []string{"\n", "\r\n", "\n\n"} {
+		for cut := 1; cut < cutStreamEvents; cut++ {
+			var arrivals atomic.Int64
+			h, _ := scriptedHarness(t, 2, func(scripted.Arrival) scripted.Step {
+				step := scripted.Step{Runs: true, Status: 200, Events: cutStreamEvents}
+				if arrivals.Add(1) == 1 {
+					step.CutAfter, step.AfterEvents = cut, blank
+				}
+				return step
+			})
+			resp := h.post("/resume/", "a")
+			Expect(resp.err).NotTo(HaveOccurred())
+			Expect(resp.body).To(Equal(worker.StreamBody("a", cutStreamEvents)))
+			Expect(arrivals.Load()).To(BeEquivalentTo(2))
+		}
+	}
+}
+
+// Guards against losing blank lines at the end of a complete stream.
+func TestBlankLinesAtTheEndOfAStreamAreDelivered(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resume/"} {
+		h, _ := scriptedHarness(t, 1, func(scripted.Arrival) scripted.Step {
+			return scripted.Step{Runs: true, Status: 200, Events: cutStreamEvents, AfterEvents: "\n\n"}
+		})
+		resp := h.post(path, "a")
+		Expect(resp.err).NotTo(HaveOccurred())
+		Expect(resp.body).To(Equal(worker.StreamBody("a", cutStreamEvents) + "\n\n"))
+	}
+}
+
 // Guards against ending the caller's stream regularly when the server's stream ends inside an event.
 func TestStreamsCutInsideAnEventAreNotCompleted(t *testing.T) {
 	const id = "a"
