Gateway: whether the server has exited is asked for whichever server ends a body without length

Cause: the question was left out for servers that drain or are not listed, and asked at once.

Change: it is asked for each server, after 50 ms in which the events are with the caller already (not for responses that are not streamed, whose caller waits). If a server was leaving, a stream counts as cut only if it may be resumed: that costs less than delivering a part as the whole.

TestStreamsOfALeavingServerThatExitsAreResumed, and TestStreamsWhoseServerExitsBetweenEventsAreNotCompleted with a delay of 25 ms, failed before.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -61,7 +61,7 @@
 		return mayHaveRun, fault.New(fault.IncompleteResponse, "the response body ended early: %w", err).WithOutcome(fault.Unknown)
 	case eventstream.EndsInsideEvent(resp.Header, body.blocks...):
 		return mayHaveRun, fault.New(fault.IncompleteResponse, "%w", errEndedInsideEvent).WithOutcome(fault.Unknown)
-	case resp.Framing == exchange.FramedByClose && g.exitedUnexpectedly(server, g.now()):
+	case resp.Framing == exchange.FramedByClose && g.mayBeCut(ctx, q, server):
 		return mayHaveRun, fault.New(fault.IncompleteResponse, "%w", errServerExited).WithOutcome(fault.Unknown)
 	}
 	rel.startResponse(resp)
--- a/internal/gateway/server_exits.go
+++ b/internal/gateway/server_exits.go
@@ -9,6 +9,7 @@
 	"github.com/merlinpost/merlinpost/internal/fault"
 	"github.com/merlinpost/merlinpost/internal/quarantine"
 	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/internal/routing"
 	"github.com/merlinpost/merlinpost/internal/telemetry"
 )
 
@@ -205,18 +206,37 @@
 	return c
 }
 
-// exitedUnexpectedly reports whether a server that closed a connection at the given time has exited other than by a
-// planned shutdown.
-func (g *Gateway) exitedUnexpectedly(server registry.Server, closedAt time.Time) bool {
-	listed, ok := g.servers.FindInstance(server.InstanceID())
-	if !ok || listed.Draining || g.notices.Draining(server.InstanceID()) {
+// exitTime is how long a server that exits may take from the end of a connection until it refuses new ones. On a busy
+// host, the process may wait for the processor in between.
+const exitTime = 50 * time.Millisecond
+
+// mayBeCut reports whether a response that has just ended with its connection may be cut, because the server has exited.
+// It waits for exitTime at the end of a stream, whose events have been relayed already, but not at the end of other
+// responses, for which the caller still waits.
+//
+// A server that is shut down as planned may have completed its last responses. They count as cut only if the request may
+// be repeated, which costs less than delivering a part of a response as the whole.
+func (g *Gateway) mayBeCut(ctx context.Context, q *request, server registry.Server) bool {
+	if !q.route.MayRepeat() && g.isLeaving(server) {
 		return false
 	}
-	check := g.checkExit(server, closedAt)
+	if q.route.Kind == routing.Streaming {
+		select {
+		case <-ctx.Done():
+		case <-time.After(exitTime):
+		}
+	}
+	check := g.checkExit(server, g.now())
 	<-check.done
 	return check.exited
 }
 
+// isLeaving reports whether a server is expected to exit: it is draining or no longer listed.
+func (g *Gateway) isLeaving(server registry.Server) bool {
+	listed, ok := g.servers.FindInstance(server.InstanceID())
+	return !ok || listed.Draining || g.notices.Draining(server.InstanceID())
+}
+
 // runExitCheck completes a check. A server has exited if its address refuses connections.
 func (g *Gateway) runExitCheck(server registry.Server, c *exitCheck) {
 	defer close(c.done)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -92,7 +92,7 @@
 			return truncated, fault.New(fault.Cancelled, "the caller has left: %w", werr)
 		}
 	}
-	if err == nil && g.exitedUnexpectedly(server, g.now()) {
+	if err == nil && g.mayBeCut(ctx, q, server) {
 		err = errServerExited
 	}
 	if err != nil {
--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -241,38 +241,82 @@
 	}
 }
 
-// Guards against completing a stream that only the end of its connection delimits when the server exits between events.
+// Guards against completing a stream that only the end of its connection delimits when the server exits between events,
+// also if its address accepts connections for a while after that.
 func TestStreamsWhoseServerExitsBetweenEventsAreNotCompleted(t *testing.T) {
+	for _, delay := range []time.Duration{0, 25 * time.Millisecond} {
+		for _, route := range []string{"/stream/", "/resume/"} {
+			t.Run(fmt.Sprint(route, delay), func(t *testing.T) { testExitBetweenEvents(t, route, delay) })
+		}
+	}
+}
+
+// testExitBetweenEvents lets a server close the connections of its streams, and its listener after a delay.
+func testExitBetweenEvents(t *testing.T, route string, delay time.Duration) {
 	const id, whole = "a", 3
-	for _, route := range []string{"/stream/", "/resume/"} {
-		t.Run(route, func(t *testing.T) {
-			h := harnessForTest(t, 2)
-			for _, w := range h.workers {
-				w.SetBehaviour(worker.Behaviour{Events: 100, Framing: worker.FramedByClose, AbortAfterEvents: -1, EventInterval: 20 * time.Millisecond})
-				w.SetResumedBehaviour(worker.Behaviour{Events: whole + 2, Framing: worker.FramedByClose, AbortAfterEvents: -1})
-			}
-			resp, err := h.client.Do(h.request(context.Background(), route, id, ""))
-			Expect(err).NotTo(HaveOccurred())
-			defer func() { _ = resp.Body.Close() }()
-			received := make([]byte, len(worker.StreamBody(id, whole)))
-			_, err = io.ReadFull(resp.Body, received)
-			Expect(err).NotTo(HaveOccurred())
-			for _, w := range h.workers {
-				if len(w.Executions()) > 0 {
-					w.Close()
-				}
+	h := harnessForTest(t, 2)
+	for _, w := range h.workers {
+		w.SetBehaviour(worker.Behaviour{Events: 100, Framing: worker.FramedByClose, AbortAfterEvents: -1, EventInterval: 20 * time.Millisecond})
+		w.SetResumedBehaviour(worker.Behaviour{Events: whole + 2, Framing: worker.FramedByClose, AbortAfterEvents: -1})
+	}
+	resp, err := h.client.Do(h.request(context.Background(), route, id, ""))
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	received := make([]byte, len(worker.StreamBody(id, whole)))
+	_, err = io.ReadFull(resp.Body, received)
+	Expect(err).NotTo(HaveOccurred())
+	for _, w := range h.workers {
+		if len(w.Executions()) > 0 {
+			w.CloseConnections()
+			time.Sleep(delay)
+			w.Close()
+		}
+	}
+	rest, err := io.ReadAll(resp.Body)
+	received = append(received, rest...)
+	if route == "/stream/" {
+		Expect(err).To(HaveOccurred())
+		Expect(h.runs()).To(HaveLen(1))
+		return
+	}
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(received)).To(Equal(worker.StreamBody(id, whole+2)))
+	Expect(h.runs()).To(HaveLen(2))
+}
+
+// Guards against completing a stream that may be resumed, and that only the end of its connection delimits, when a server
+// exits that was expected to.
+func TestStreamsOfALeavingServerThatExitsAreResumed(t *testing.T) {
+	const id, whole = "a", 3
+	for _, listed := range []bool{true, false} {
+		h := harnessForTest(t, 2)
+		for _, w := range h.workers {
+			w.SetBehaviour(worker.Behaviour{Events: 100, Framing: worker.FramedByClose, AbortAfterEvents: -1, EventInterval: 20 * time.Millisecond})
+			w.SetResumedBehaviour(worker.Behaviour{Events: whole + 2, AbortAfterEvents: -1})
+		}
+		resp, err := h.client.Do(h.request(context.Background(), "/resume/", id, ""))
+		Expect(err).NotTo(HaveOccurred())
+		received := make([]byte, len(worker.StreamBody(id, whole)))
+		_, err = io.ReadFull(resp.Body, received)
+		Expect(err).NotTo(HaveOccurred())
+		var list []registry.Server
+		for _, w := range h.workers {
+			leaves := len(w.Executions()) > 0
+			if !leaves || listed {
+				list = append(list, registry.Server{ID: w.ID, Service: "s", Address: w.Address(), Slots: 8, Draining: leaves})
 			}
-			rest, err := io.ReadAll(resp.Body)
-			received = append(received, rest...)
-			if route == "/stream/" {
-				Expect(err).To(HaveOccurred())
-				Expect(h.runs()).To(HaveLen(1))
-				return
+		}
+		h.servers.Replace(list, time.Now(), time.Time{})
+		for _, w := range h.workers {
+			if len(w.Executions()) > 0 {
+				w.Close()
 			}
-			Expect(err).NotTo(HaveOccurred())
-			Expect(string(received)).To(Equal(worker.StreamBody(id, whole+2)))
-			Expect(h.runs()).To(HaveLen(2))
-		})
+		}
+		rest, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(received) + string(rest)).To(Equal(worker.StreamBody(id, whole+2)))
+		Expect(h.runs()).To(HaveLen(2))
+		_ = resp.Body.Close()
 	}
 }
 
