A further SIGTERM does not shorten a shutdown; SIGINT does

Process managers may repeat the signal.

Change: only SIGINT (Ctrl-C) during a shutdown ends the process at once; the same in gateways, routers and agents, which share the code.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -129,8 +129,9 @@
 	return exitFailed
 }
 
-// notifyStop returns a channel that is closed at the first SIGTERM or SIGINT, to start
-// a graceful shutdown, and a context that is cancelled at the second.
+// notifyStop returns a channel that is closed at the first SIGTERM or SIGINT, to start a graceful shutdown, and a context
+// that is cancelled at the next SIGINT. Further SIGTERMs do not shorten the shutdown, because process managers may repeat
+// them.
 func notifyStop(ctx context.Context) (context.Context, <-chan struct{}) {
 	ctx, cancel := context.WithCancel(ctx)
 	signals := make(chan os.Signal, 2)
@@ -139,8 +140,11 @@
 	go func() {
 		<-signals
 		close(stop)
-		<-signals
-		cancel()
+		for s := range signals {
+			if s == os.Interrupt {
+				cancel()
+			}
+		}
 	}()
 	return ctx, stop
 }
