Gateway: a request body takes the memory of what has arrived, and has a time limit

Change: memory is reserved in steps, from 4 KB on, for what has arrived; the body of a request that is not sent again is released when it has been written. A body that stops arriving for the idle timeout of the configuration, or has not arrived at the request's deadline, is answered 408 `body_timeout`, not run.

TestBodiesInChunksTakeTheMemoryOfWhatHasArrived, TestABodyThatStopsArrivingIsAnsweredWithATimeout and TestABodyIsHeldOnlyWhileTheRequestMayBeSent failed before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -130,6 +130,9 @@
 	maxDiscardedBytes = 16 << 10
 )
 
+// RequestWritten reports whether the request has been written, after which its body is not read any more.
+func (r *Response) RequestWritten() bool { return r.conn != nil && r.conn.written() }
+
 // Discard ends the exchange like Close, but does not return before the whole body has been read only if it has arrived
 // already. Otherwise a short rest is read in the background, independently of the context of the request.
 func (r *Response) Discard() {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -16,9 +16,11 @@
 // The codes, grouped by cause.
 const (
 	// Invalid input of a caller or operator.
-	BadRequest             Code = "bad_request"
-	TooLarge               Code = "too_large"
-	HeadersTooLarge        Code = "head_too_large"
+	BadRequest      Code = "bad_request"
+	TooLarge        Code = "too_large"
+	HeadersTooLarge Code = "head_too_large"
+	// BodyTimeout: the body of a request did not arrive in time.
+	BodyTimeout            Code = "body_timeout"
 	Unauthorized           Code = "unauthorized"
 	Forbidden              Code = "forbidden"
 	NotFound               Code = "not_found"
@@ -153,7 +155,7 @@
 const statusClientClosedRequest = 499
 
 var statusByCode = map[Code]int{
-	BadRequest: http.StatusBadRequest, UnsupportedField: http.StatusBadRequest,
+	BadRequest: http.StatusBadRequest, BodyTimeout: http.StatusRequestTimeout, UnsupportedField: http.StatusBadRequest,
 	IdempotencyKeyRequired: http.StatusBadRequest, InvalidConfig: http.StatusUnprocessableEntity,
 	TooLarge: http.StatusRequestEntityTooLarge, HeadersTooLarge: http.StatusRequestHeaderFieldsTooLarge, Unauthorized: http.StatusUnauthorized,
 	Forbidden: http.StatusForbidden, NotFound: http.StatusNotFound,
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -367,6 +367,9 @@
 			b.RecordLoad(*info.Load)
 		}
 		proof = resp.Proof(info.NotRun)
+		if proof == "" && !q.route.MayRepeat() && resp.RequestWritten() {
+			g.dropBody(q)
+		}
 		result, err = g.relayResponse(ctx, q, server, rel, resp, info, meter)
 		g.recordHealth(ctx, b, resp.Status, result)
 	}
--- a/internal/gateway/errors_and_logs.go
+++ b/internal/gateway/errors_and_logs.go
@@ -63,7 +63,8 @@
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	if e.Code == fault.BadRequest || e.Code == fault.TooLarge || e.Code == fault.HeadersTooLarge {
+	switch e.Code {
+	case fault.BadRequest, fault.TooLarge, fault.HeadersTooLarge, fault.BodyTimeout:
 		h.Set("Connection", "close") // the data that follows may not be the start of a new request
 	}
 	w.WriteHeader(status)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/merlinpost/merlinpost/internal/notice"
 	"github.com/merlinpost/merlinpost/internal/ratelimit"
+	"github.com/merlinpost/merlinpost/internal/registry"
+	"github.com/merlinpost/merlinpost/internal/routing"
 )
 
 // UseRateLimiter replaces the limiter that enforces the rates which backend servers state. It must be
@@ -27,3 +31,15 @@
 	requests, responses := g.memory.Held()
 	return requests + responses
 }
+
+// RequestsHeld returns how many requests with a body fit into the memory for request bodies. length is negative for a
+// body in chunks.
+func RequestsHeld(body string, length int64) (n int) {
+	g := New(Settings{}, nil, registry.New(), slog.New(slog.DiscardHandler))
+	for ; ; n++ {
+		q := &request{table: &routing.Table{}}
+		if g.readBody(q, strings.NewReader(body), length) != nil {
+			return n
+		}
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -38,7 +38,7 @@
 	header        http.Header
 	body          []byte
 	hasBody       bool
-	reservedBytes int64 // bytes reserved for the body; see reserveBody
+	reservedBytes int64 // bytes reserved for the body; see growBody
 	start         time.Time
 	receivedAt    time.Time // when the whole request had been received, zero before that
 	deadline      time.Time // the caller's deadline or the route's timeout, whichever is earlier
