--- a/e2e/latecopies_test.go
+++ b/e2e/latecopies_test.go
@@ -65,8 +65,7 @@
 		}
 		t.Cleanup(s.Close)
 		out.servers = append(out.servers, s)
-		f.store.PutJSON(platformstore.TopicServers, s.ID(), map[string]any{"service": appService, "address": s.Address(), "zone": "z",
-			"slots": workerSlots, "version": "v1", "cold_remaining_ms": 0, "state": "ready", "sequence": i, "born": time.Now().UnixMilli()})
+		out.registerScripted(s, i)
 	}
 	for _, g := range f.gateways {
 		deadline := time.Now().Add(waitTimeout)
@@ -81,6 +80,21 @@
 	return out
 }
 
+// registerScripted enters a server into the list of servers.
+func (f *scriptedFleet) registerScripted(s *scripted.Server, sequence int) {
+	f.store.PutJSON(platformstore.TopicServers, s.ID(), map[string]any{"service": appService, "address": s.Address(), "zone": "z",
+		"slots": workerSlots, "version": "v1", "cold_remaining_ms": 0, "state": "ready", "sequence": sequence, "born": time.Now().UnixMilli()})
+}
+
+// rejectOnce is a script in which each server rejects the requests that isRejectedOnce selects when they arrive for the
+// first time.
+func rejectOnce(a scripted.Arrival) scripted.Step {
+	if isRejectedOnce(a.ID) && a.Earlier == 0 {
+		return scripted.Step{Status: http.StatusServiceUnavailable, NotExecuted: true}
+	}
+	return scripted.Step{Runs: true, Status: http.StatusOK, Delay: 2 * time.Millisecond}
+}
+
 // runs returns the number of runs of each request at all servers.
 func (f *scriptedFleet) runs() map[string]int {
 	out := map[string]int{}
@@ -133,10 +147,11 @@
 			var copies atomic.Pointer[[]scripted.Copy]
 			copies.Store(new([]scripted.Copy))
 			f := newScriptedFleet(t, servers, func(a scripted.Arrival) scripted.Step {
-				if isRejectedOnce(a.ID) && a.Earlier == 0 {
-					return scripted.Step{Status: http.StatusServiceUnavailable, NotExecuted: true, Copies: *copies.Load()}
+				step := rejectOnce(a)
+				if step.NotExecuted {
+					step.Copies = *copies.Load()
 				}
-				return scripted.Step{Runs: true, Status: http.StatusOK, Delay: 2 * time.Millisecond}
+				return step
 			})
 			for i, kind := range lateCopies {
 				copies.Store(&kind.copies)
--- a/internal/gateway/overlap_test.go
+++ b/internal/gateway/overlap_test.go
@@ -35,9 +35,9 @@
 				return scripted.Step{Runs: true, Status: http.StatusOK, Events: abandoned.Events}
 			}
 			var servers []*scripted.Server
-			var overlaps overlapCheck
+			var overlaps scripted.OverlapCheck
 			var h *harness
-			h, servers = scriptedHarness(t, 2, overlaps.watch(func() []*scripted.Server { return servers }, script))
+			h, servers = scriptedHarness(t, 2, overlaps.Watch(func() []*scripted.Server { return servers }, script))
 			route, want := "/again/", worker.ResponseBody("a")
 			if abandoned.Events > 0 {
 				route, want = "/resume/", worker.StreamBody("a", abandoned.Events)
@@ -46,7 +46,7 @@
 			Expect(resp.err).NotTo(HaveOccurred())
 			Expect(resp.body).To(Equal(want), h.log.String())
 			Expect(servers[0].RunsOf("a") + servers[1].RunsOf("a")).To(Equal(2))
-			Expect(overlaps.of("a")).To(BeFalse())
+			Expect(overlaps.Of("a")).To(BeFalse())
 		})
 	}
 }
--- a/internal/gateway/proof_pairs_test.go
+++ b/internal/gateway/proof_pairs_test.go
@@ -53,7 +53,7 @@
 		{"close after the answer", scripted.Step{Runs: true, Status: http.StatusOK, Ending: scripted.Close}},
 		{silence, scripted.Step{Runs: true, Ending: scripted.Silence}},
 	}
-	for _, status := range rejectionStatuses {
+	for _, status := range scripted.RejectionStatuses {
 		out = append(out, sign{fmt.Sprint("rejection ", status), rejection(status)})
 	}
 	for _, c := range []scripted.Copy{{}, {ID: scripted.NoID}, {ID: scripted.OtherID}, {Chunked: true}, {AfterInformational: true}, {AnnounceClose: true},
@@ -61,7 +61,7 @@
 		out = append(out, sign{fmt.Sprintf("rejection, then %+v", c), rejection(http.StatusServiceUnavailable, c)})
 	}
 	out = append(out, sign{"rejection, then two copies", rejection(http.StatusTooManyRequests, scripted.Copy{}, scripted.Copy{ID: scripted.NoID})})
-	for _, status := range failureStatuses {
+	for _, status := range scripted.FailureStatuses {
 		out = append(out, sign{fmt.Sprint("failure ", status), scripted.Step{Runs: true, Status: status}})
 	}
 	for _, runs := range []bool{false, true} {
@@ -85,8 +85,8 @@
 	if left := s.pending[a.ID]; len(left) > 0 {
 		step, s.pending[a.ID] = left[0].step, left[1:]
 	}
-	if isStream(a.ID) && step.Status == http.StatusOK {
-		step.Events = drawnEvents
+	if step.Status == http.StatusOK {
+		step.Events = eventsOf(a.ID)
 	}
 	return step
 }
@@ -135,7 +135,7 @@
 		}
 	}
 	for i := range servers {
-		s, err := scripted.Start(fmt.Sprint("i-", i), c.overlaps.watch(c.allServers, series.next))
+		s, err := scripted.Start(fmt.Sprint("i-", i), c.overlaps.Watch(c.allServers, series.next))
 		Expect(err).NotTo(HaveOccurred())
 		defer s.Close()
 		c.servers = append(c.servers, s)
--- a/internal/gateway/proof_test.go
+++ b/internal/gateway/proof_test.go
@@ -55,15 +55,13 @@
 	fronts  []*httptest.Server
 	logs    []*logBuffer
 
-	mu   sync.Mutex
-	rand *rand.Rand
-	// rejects, copies and fails are the shares of requests that are rejected, of responses that are sent again, and of
-	// exchanges that fail.
-	rejects, copies, fails float64
-	responses              []drawnResponse
+	draw *scripted.Draw
+
+	mu        sync.Mutex
+	responses []drawnResponse
 	// signs describes what the servers do with a request, by its ID. It may be nil.
 	signs    map[string]string
-	overlaps overlapCheck
+	overlaps scripted.OverlapCheck
 }
 
 // drawnResponse is what a caller got.
@@ -96,15 +94,14 @@
 
 // playDrawnCase plays the case with a seed and returns the number of sends.
 func playDrawnCase(t *testing.T, seed uint64) (sends int) {
-	c := &drawnCase{rand: rand.New(rand.NewPCG(seed, 0))}
-	c.rejects, c.copies, c.fails = c.rand.Float64()*0.5, c.rand.Float64(), c.rand.Float64()*0.3
-	for i := range 1 + c.rand.IntN(3) {
-		s, err := scripted.Start(fmt.Sprintf("i-%d", i), c.overlaps.watch(c.allServers, c.draw))
+	c := &drawnCase{draw: scripted.NewDraw(seed, eventsOf)}
+	for i := range 1 + c.draw.IntN(3) {
+		s, err := scripted.Start(fmt.Sprintf("i-%d", i), c.overlaps.Watch(c.allServers, c.draw.Step))
 		Expect(err).NotTo(HaveOccurred())
 		defer s.Close()
 		c.servers = append(c.servers, s)
 	}
-	registries := c.startGateways(1 + c.rand.IntN(12))
+	registries := c.startGateways(1 + c.draw.IntN(12))
 	for _, front := range c.fronts {
 		defer front.Close()
 	}
@@ -165,9 +162,7 @@
 // restartServers replaces servers by others at the same addresses from time to time, which the gateways hear later.
 func (c *drawnCase) restartServers(ctx context.Context, registries []*registry.Registry) {
 	for n := 0; ctx.Err() == nil; n++ {
-		c.mu.Lock()
-		pause, i := time.Duration(20+c.rand.IntN(300))*time.Millisecond, c.rand.IntN(len(c.servers))
-		c.mu.Unlock()
+		pause, i := time.Duration(20+c.draw.IntN(300))*time.Millisecond, c.draw.IntN(len(c.servers))
 		select {
 		case <-ctx.Done():
 			return
@@ -213,7 +208,7 @@
 			answered = answered || s.Answered(r.id)
 		}
 		violation := r.violation(runs, answered)
-		if violation == "" && c.overlaps.of(r.id) {
+		if violation == "" && c.overlaps.Of(r.id) {
 			violation = "a server still worked on it after another one had begun"
 		}
 		if violation != "" {
@@ -222,51 +217,6 @@
 	}
 }
 
-// mostOverlap is how long a server may still work on a request after another server has begun to.
-const mostOverlap = 400 * time.Millisecond
-
-// overlapCheck finds requests that go on at a server while the one before still works on them.
-type overlapCheck struct {
-	checks sync.WaitGroup
-	mu     sync.Mutex
-	found  map[string]bool // by request ID
-}
-
-// watch returns the script, which checks at each run whether one of the servers goes on with an earlier run.
-func (o *overlapCheck) watch(servers func() []*scripted.Server, script scripted.Script) scripted.Script {
-	return func(a scripted.Arrival) scripted.Step {
-		step, now := script(a), time.Now()
-		if step.Runs {
-			o.checks.Go(func() {
-				time.Sleep(mostOverlap)
-				for _, s := range servers() {
-					if s.WorksOn(a.ID, now) {
-						o.add(a.ID)
-					}
-				}
-			})
-		}
-		return step
-	}
-}
-
-func (o *overlapCheck) add(id string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.found == nil {
-		o.found = map[string]bool{}
-	}
-	o.found[id] = true
-}
-
-// of waits for the checks that are in progress, and reports whether a request was found.
-func (o *overlapCheck) of(id string) bool {
-	o.checks.Wait()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.found[id]
-}
-
 // violation returns the guarantee that a response violates. answered tells whether a server has sent a complete answer.
 func (r drawnResponse) violation(runs int, answered bool) string {
 	want := worker.ResponseBody(r.id)
@@ -300,88 +250,10 @@
 	return strings.Join(out, "\n")
 }
 
-// statuses with which servers reject requests, and those of runs that failed.
-var (
-	rejectionStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusRequestTimeout, http.StatusBadRequest}
-	failureStatuses   = []int{http.StatusInternalServerError, http.StatusGatewayTimeout, http.StatusServiceUnavailable, http.StatusTooManyRequests,
-		http.StatusRequestTimeout, http.StatusBadRequest}
-)
-
-// isStream reports whether the response to a request is a stream.
-func isStream(id string) bool {
-	return strings.HasPrefix(id, "stream") || strings.HasPrefix(id, "resume")
-}
-
-// draw returns what a server does with a request.
-func (c *drawnCase) draw(a scripted.Arrival) scripted.Step {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r := c.rand
-	s := scripted.Step{Runs: true, Status: http.StatusOK, Delay: time.Duration(r.IntN(3000)) * time.Microsecond}
-	if isStream(a.ID) {
-		s.Events = drawnEvents
-	}
-	switch p := r.Float64(); {
-	case p < c.rejects:
-		s.Runs, s.Status, s.NotExecuted = false, rejectionStatuses[r.IntN(len(rejectionStatuses))], true
-		if s.Status == http.StatusMisdirectedRequest {
-			s.NotExecuted = r.IntN(2) == 0
-		}
-	case p < c.rejects+c.fails:
-		c.drawFailure(&s)
-	}
-	for r.Float64() < c.copies && len(s.Copies) < 3 {
-		s.Copies = append(s.Copies, c.drawCopy())
-	}
-	return s
-}
-
-// drawFailure makes an exchange fail, before or after the run.
-func (c *drawnCase) drawFailure(s *scripted.Step) {
-	switch r := c.rand; r.IntN(8) {
-	case 0:
-		s.Status, s.Unsealed = failureStatuses[r.IntN(len(failureStatuses))], r.IntN(2) == 0
-	case 1:
-		s.Runs, s.Status, s.Ending = r.IntN(2) == 0, 0, []scripted.Ending{scripted.Close, scripted.Reset}[r.IntN(2)]
-	case 2:
-		s.Ending = []scripted.Ending{scripted.Close, scripted.Reset}[r.IntN(2)] // after the answer
-	case 3:
-		s.CutAfter = 1 + r.IntN(drawnEvents)
-	case 4:
-		s.OmitID = true
-	case 5:
-		s.Runs, s.Status, s.NotExecuted, s.OmitID = false, http.StatusServiceUnavailable, true, true
-	case 6:
-		if r.IntN(20) == 0 {
-			s.Ending = scripted.Silence
-		}
-	case 7:
-		c.drawEndless(s)
-	}
-}
-
-// drawEndless makes a server work until its caller disconnects, on a run whose answer can't be delivered.
-func (c *drawnCase) drawEndless(s *scripted.Step) {
-	s.Ending = []scripted.Ending{scripted.WorkOn, scripted.Garble}[c.rand.IntN(2)]
-	switch c.rand.IntN(3) {
-	case 0:
-		s.Status = failureStatuses[c.rand.IntN(len(failureStatuses))]
-	case 1:
-		s.Unsealed = true
-	case 2:
-		s.Ending, s.CutAfter = scripted.Garble, 1+c.rand.IntN(drawnEvents)
-	}
-}
-
-func (c *drawnCase) drawCopy() scripted.Copy {
-	r := c.rand
-	out := scripted.Copy{ID: []scripted.IDMode{scripted.SameID, scripted.SameID, scripted.NoID, scripted.OtherID}[r.IntN(4)], AnnounceClose: r.IntN(8) == 0,
-		AfterInformational: r.IntN(8) == 0, NotExecuted: r.IntN(2) == 0, WithBody: r.IntN(8) == 0, Chunked: r.IntN(8) == 0}
-	if r.IntN(3) == 0 {
-		out.Status = rejectionStatuses[r.IntN(len(rejectionStatuses))]
-	}
-	if r.IntN(4) == 0 {
-		out.When = []scripted.When{scripted.WithAnswer, scripted.Split, scripted.FirstHalfBeforeNext}[r.IntN(3)]
+// eventsOf returns the number of events of the response to a request.
+func eventsOf(id string) int {
+	if strings.HasPrefix(id, "stream") || strings.HasPrefix(id, "resume") {
+		return drawnEvents
 	}
-	return out
+	return 0
 }
