Tests with drawn responses share one check, which is made at the end

What a response must not contradict stood in the test over processes and in that in internal/gateway. It is scripted.Violation now. The test over processes compares only after its last response, so that a request that runs after its caller was told "not run" is found as well. The list of statuses that promise "not run" is the check's own instead of the product's.

--- a/e2e/drawnresponses_test.go
+++ b/e2e/drawnresponses_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -59,12 +58,12 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var crashes, callers sync.WaitGroup
 	crashes.Go(func() { f.crashServers(ctx, draw) })
-	requests := make(chan int)
+	requests, responses := make(chan int), make(chan drawnResponse, drawnCaseRequests)
 	for range drawnCallers {
 		callers.Go(func() {
 			for i := range requests {
-				for route, mayRepeat := range drawnRoutes {
-					f.checkDrawn(t, route, mayRepeat, fmt.Sprintf("%s-%d-%d", route, seed, i))
+				for route := range drawnRoutes {
+					responses <- f.sendDrawn(t.Context(), route, fmt.Sprintf("%s-%d-%d", route, seed, i))
 				}
 			}
 		})
@@ -76,10 +75,9 @@
 	callers.Wait()
 	cancel()
 	crashes.Wait()
-	for id, n := range f.runs() {
-		if n > 1 && overlaps.Of(id) {
-			t.Errorf("seed %d: %s: a server still worked on it after another one had begun\n%s", seed, id, f.logOf(id))
-		}
+	close(responses)
+	for r := range responses { // only now, because a request must not run after its response either
+		f.checkDrawn(t, &overlaps, r)
 	}
 	for _, s := range f.servers {
 		sends += s.ArrivalCount()
@@ -87,29 +85,29 @@
 	return sends
 }
 
-// checkDrawn sends a request and compares its response with what the servers ran.
-func (f *scriptedFleet) checkDrawn(t *testing.T, route string, mayRepeat bool, id string) {
-	gateway, start := f.gateways[rand.IntN(len(f.gateways))], time.Now()
-	resp := f.sendWithKey(t.Context(), f.keepAlive, gateway, fleetKey, route, id)
-	took := time.Since(start)
-	runs, answered := 0, false
-	for _, s := range f.servers {
-		runs += s.RunsOf(id)
-		answered = answered || s.Answered(id)
-	}
-	delivered, violation := resp.status == http.StatusOK && resp.err == nil, ""
-	switch {
-	case runs > 1 && !mayRepeat:
-		violation = "ran twice"
-	case runs > 0 && promisesNotRun(resp.status):
-		violation = "told not run though run"
-	case delivered && resp.body != wantBody(route, id):
-		violation = "another body than its own"
-	case answered && !delivered && took < drawnTimeout:
-		violation = "a complete answer was lost"
+// drawnResponse is what the caller of a request got.
+type drawnResponse struct {
+	route, id string
+	resp      fleetResponse
+	took      time.Duration
+}
+
+// sendDrawn sends a request to a random gateway.
+func (f *scriptedFleet) sendDrawn(ctx context.Context, route, id string) drawnResponse {
+	start := time.Now()
+	resp := f.sendWithKey(ctx, f.keepAlive, f.gateways[rand.IntN(len(f.gateways))], fleetKey, route, id)
+	return drawnResponse{route, id, resp, time.Since(start)}
+}
+
+// checkDrawn compares a response with what the servers ran.
+func (f *scriptedFleet) checkDrawn(t *testing.T, overlaps *scripted.OverlapCheck, r drawnResponse) {
+	violation := scripted.Violation(f.servers, r.id, drawnRoutes[r.route], wantBody(r.route, r.id),
+		scripted.Response{Status: r.resp.status, Body: r.resp.body, Err: r.resp.err, InTime: r.took < drawnTimeout})
+	if violation == "" && overlaps.Of(r.id) {
+		violation = "a server still worked on it after another one had begun"
 	}
 	if violation != "" {
-		t.Errorf("%s: %s (status %d, %d runs, body %q, error %v)\n%s", id, violation, resp.status, runs, resp.body, resp.err, f.logOf(id))
+		t.Errorf("%s: %s (status %d, body %q, error %v)\n%s", r.id, violation, r.resp.status, r.resp.body, r.resp.err, f.logOf(r.id))
 	}
 }
 
--- a/e2e/latecopies_test.go
+++ b/e2e/latecopies_test.go
@@ -171,7 +171,7 @@
 						continue
 					case resp.status == http.StatusOK:
 						t.Errorf("%s: %s got the body %q", kind.name, id, resp.body)
-					case promisesNotRun(resp.status) && runs[id] > 0:
+					case scripted.PromisesNotRun(resp.status) && runs[id] > 0:
 						untrue++
 					}
 					t.Logf("%s: status %d, %d runs\n%s", id, resp.status, runs[id], f.logOf(id))
@@ -199,8 +199,3 @@
 	}
 	return n
 }
-
-// promisesNotRun reports whether a status tells the caller that the request did not run.
-func promisesNotRun(status int) bool {
-	return status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
-}
--- a/internal/gateway/proof_test.go
+++ b/internal/gateway/proof_test.go
@@ -17,7 +17,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/merlinpost/merlinpost/internal/exchange"
 	"github.com/merlinpost/merlinpost/internal/gateway"
 	"github.com/merlinpost/merlinpost/internal/registry"
 	"github.com/merlinpost/merlinpost/internal/routing"
@@ -202,39 +201,23 @@
 // check compares what callers got with what the servers ran.
 func (c *drawnCase) check(t *testing.T, seed uint64) {
 	for _, r := range c.responses {
-		runs, answered := 0, false
-		for _, s := range c.servers {
-			runs += s.RunsOf(r.id)
-			answered = answered || s.Answered(r.id)
-		}
-		violation := r.violation(runs, answered)
+		violation := r.violation(c.servers)
 		if violation == "" && c.overlaps.Of(r.id) {
 			violation = "a server still worked on it after another one had begun"
 		}
 		if violation != "" {
-			t.Errorf("seed %d: %s %s: %s (status %d, %d runs, body %q, error %v)\n%s", seed, r.id, c.signs[r.id], violation, r.status, runs, r.body, r.err, c.logOf(r.id))
+			t.Errorf("seed %d: %s %s: %s (status %d, body %q, error %v)\n%s", seed, r.id, c.signs[r.id], violation, r.status, r.body, r.err, c.logOf(r.id))
 		}
 	}
 }
 
-// violation returns the guarantee that a response violates. answered tells whether a server has sent a complete answer.
-func (r drawnResponse) violation(runs int, answered bool) string {
+// violation returns the guarantee that a response violates.
+func (r drawnResponse) violation(servers []*scripted.Server) string {
 	want := worker.ResponseBody(r.id)
 	if r.route.Kind == routing.Streaming {
 		want = worker.StreamBody(r.id, drawnEvents)
 	}
-	delivered := r.status == http.StatusOK && r.err == nil
-	switch {
-	case runs > 1 && !r.route.MayRepeat():
-		return "ran twice"
-	case runs > 0 && exchange.PromisesNotRun(r.status):
-		return "told not run though run"
-	case delivered && r.body != want:
-		return "another body than its own"
-	case answered && !delivered && r.took < drawnTimeout:
-		return "a complete answer was lost"
-	}
-	return ""
+	return scripted.Violation(servers, r.id, r.route.MayRepeat(), want, scripted.Response{Status: r.status, Body: r.body, Err: r.err, InTime: r.took < drawnTimeout})
 }
 
 // logOf returns the log lines about a request.
