Exchange: a server that acknowledges nothing is told that its request is given up

A server whose replies are lost, or that works without reading the request, worked on after the gateway had sent the request elsewhere, until it wrote something itself.

Cause: TCP_USER_TIMEOUT. When sent data stays unacknowledged for 1.5 s, the kernel ends the connection without a packet to the server, and a closed socket can't send a reset any more.

Change: while data is outstanding, the gateway asks the kernel every 25 ms whether the server has acknowledged any, and resets the connection after 1.45 s without; the first check is usually the last. The limit of the kernel stays, for hosts that are gone. A server that reads slowly is not affected.

TestAServerThatAcknowledgesNothingIsTold failed before: a server that ran a request with a body of 16 MB and did not read it was not told within 6 s; the exchange had failed after 1.9 s. A link that is cut in one direction was not reproduced; there the server gets the reset if the direction towards it works.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -187,6 +188,7 @@
 	}
 	c := r.conn
 	r.conn = nil
+	c.delivery.Stop()
 	notCancelled := r.detachContext()
 	if r.complete && notCancelled && !r.raw.Close && c.reader.Buffered() == 0 && c.written() {
 		r.pool.putIdle(c, keepAliveTimeout(r.Header))
@@ -214,6 +216,7 @@
 	resp, err := c.roundTrip(req)
 	if err != nil {
 		stop()
+		c.delivery.Stop()
 		c.close()
 		var e *Error
 		if errors.As(err, &e) && ctx.Err() != nil {
@@ -250,7 +253,7 @@
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 		if err != nil {
-			return nil, &Error{Stage: Waiting, MayHaveRun: true, Err: err}
+			return nil, &Error{Stage: Waiting, MayHaveRun: true, Err: c.cause(err)}
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
@@ -281,6 +284,7 @@
 	header := appendHeader(c.headerBuf[:0], req)
 	c.headerBuf = header
 	c.writeDone = make(chan struct{})
+	c.delivery = c.watchDelivery()
 	if len(req.Body) <= maxInlineBodyBytes {
 		defer close(c.writeDone)
 		return c.write(append(header, req.Body...))
@@ -391,6 +395,8 @@
 	overhead      *overheadLimiter
 	reader        *bufio.Reader
 	headerBuf     []byte        // buffer for request headers
+	delivery      *time.Timer   // see watchDelivery
+	undelivered   atomic.Bool   // the server acknowledged nothing for deliveryTimeout
 	writeDone     chan struct{} // closed when writing the request has ended
 	writeErr      error         // error of writing the request; set before writeDone is closed
 	idleSince     time.Time     // when the connection was returned to the pool
